--- /dev/null
+++ b/packages/kitekeel-backends/src/kitekeel_backends/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding to back ends, load probes, cancellation."""
--- /dev/null
+++ b/packages/kitekeel-callers/src/kitekeel_callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' front end: look-ups, request intake, outcomes."""
--- /dev/null
+++ b/packages/kitekeel-callers/src/kitekeel_callers/entries.py
@@ -0,0 +1,185 @@
+"""Look-ups: which daemons a caller may use, prepared when the state changes, not when asked."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+from urllib.parse import parse_qs
+
+import msgspec
+import xxhash
+
+from kitekeel_callers.answers import OwnAnswer, error_answer, json_answer
+from kitekeel_callers.caller_request import Environment
+from kitekeel_callers.intake import StartResponse
+from kitekeel_steering.clock import Clock
+from kitekeel_steering.errors import NoConfigurationError, UnknownServiceError
+from kitekeel_steering.home_tokens import HomeToken, HomeTokenSigner
+from kitekeel_steering.metrics import Metrics
+from kitekeel_steering.model import Configuration
+
+ENTRIES_PATH = "/v1/entries"
+
+_REFRESH_SECONDS = 5.0
+_MOST_ENTRIES = 8
+
+
+class EntryMachine(msgspec.Struct, frozen=True):
+    """A daemon that callers may be sent to."""
+
+    instance: str
+    address: str
+    region: str
+    zone: str
+
+
+class Entry(msgspec.Struct, frozen=True):
+    """One line of a look-up's answer.
+
+    Attributes:
+        home_token: makes this daemon the home of the keys that begin with it.
+    """
+
+    address: str
+    region: str
+    zone: str
+    home_token: str
+
+
+class EntriesBody(msgspec.Struct, frozen=True):
+    """The answer to a look-up, the best entry first."""
+
+    service: str
+    max_age_seconds: int
+    entries: tuple[Entry, ...]
+
+
+class EntryTiming(msgspec.Struct, frozen=True):
+    """How long answers may be cached and tokens used, in seconds."""
+
+    max_age_seconds: int
+    token_life_seconds: int
+
+
+class _Prepared(msgspec.Struct, frozen=True):
+    """Answers for one service and one zone, one for each rotation of the nearest entries."""
+
+    answers: tuple[OwnAnswer, ...]
+    prepared_at: float
+    state: tuple[int, int]
+
+
+class EntryLookups:
+    """The WSGI application that answers look-ups.
+
+    Args:
+        machines: returns the daemons that callers may be sent to.
+        state: returns a number that changes with the machines.
+        configuration: returns the configuration in force.
+        zone: this daemon's zone; callers that name none count as near to it.
+        signer: signs home tokens.
+        clock: times the answers and the tokens.
+        timing: lives of answers and tokens.
+        metrics: counts look-ups.
+    """
+
+    def __init__(
+        self,
+        machines: Callable[[], Iterable[EntryMachine]],
+        state: Callable[[], int],
+        configuration: Callable[[], Configuration],
+        zone: str,
+        signer: HomeTokenSigner,
+        clock: Clock,
+        timing: EntryTiming,
+        metrics: Metrics,
+    ) -> None:
+        self._machines = machines
+        self._state = state
+        self._configuration = configuration
+        self._zone = zone
+        self._signer = signer
+        self._clock = clock
+        self._timing = timing
+        self._metrics = metrics
+        self._prepared: dict[tuple[str, str], _Prepared] = {}
+        self._lock = threading.Lock()
+
+    def __call__(self, environment: Environment, start_response: StartResponse) -> Iterable[bytes]:
+        """Answer one look-up."""
+        self._metrics.increment("lookups.received")
+        query = parse_qs(str(environment.get("QUERY_STRING", "")))
+        service = query.get("service", [""])[0]
+        zone = query.get("zone", [self._zone])[0]
+        block = query.get("block", [str(environment.get("REMOTE_ADDR", ""))])[0]
+        answer = self.answer(service, zone, block)
+        start_response(answer.status_line, list(answer.headers))
+        return [answer.body]
+
+    def answer(self, service: str, zone: str, block: str) -> OwnAnswer:
+        """Return the prepared answer for a service, a caller's zone and its client block."""
+        configuration = self._configuration()
+        if configuration.revision == 0:
+            return error_answer(NoConfigurationError("no configuration is known yet", 1.0))
+        if configuration.find_service(service) is None:
+            return error_answer(UnknownServiceError(f"no service '{service}'"))
+        prepared = self._fresh(configuration, service, zone)
+        rotation = xxhash.xxh32_intdigest(block.encode()) % len(prepared.answers)
+        return prepared.answers[rotation]
+
+    def _fresh(self, configuration: Configuration, service: str, zone: str) -> _Prepared:
+        if not any(zone in region.zones for region in configuration.regions):
+            zone = self._zone
+        state = (configuration.revision, self._state())
+        found = self._prepared.get((service, zone))
+        now = self._clock.monotonic()
+        if found and found.state == state and now - found.prepared_at < _REFRESH_SECONDS:
+            return found
+        with self._lock:
+            answers = self._prepare(configuration, service, zone)
+            prepared = _Prepared(answers, now, state)
+            self._prepared[(service, zone)] = prepared
+            return prepared
+
+    def _prepare(
+        self, configuration: Configuration, service: str, zone: str
+    ) -> tuple[OwnAnswer, ...]:
+        region = next((each.name for each in configuration.regions if zone in each.zones), "")
+        machines = sorted(
+            self._machines(),
+            key=lambda each: (
+                each.zone != zone,
+                configuration.one_way_seconds(region, each.region) if region else 0.0,
+                each.region != region,
+                each.instance,
+            ),
+        )
+        near = sum(each.zone == zone for each in machines)
+        rotations = max(1, near or len(machines))
+        return tuple(
+            self._answer(service, _rotate(machines, rotations, turn)) for turn in range(rotations)
+        )
+
+    def _answer(self, service: str, machines: list[EntryMachine]) -> OwnAnswer:
+        expires_at = int(self._clock.wall()) + self._timing.token_life_seconds
+        entries = tuple(
+            Entry(
+                each.address,
+                each.region,
+                each.zone,
+                self._signer.sign(HomeToken(each.instance, expires_at)),
+            )
+            for each in machines[:_MOST_ENTRIES]
+        )
+        body = EntriesBody(service, self._timing.max_age_seconds, entries)
+        headers = (
+            ("Content-Type", "application/json"),
+            ("Cache-Control", f"max-age={self._timing.max_age_seconds}"),
+        )
+        return json_answer(HTTPStatus.OK, msgspec.json.encode(body), headers)
+
+
+def _rotate(machines: list[EntryMachine], count: int, turn: int) -> list[EntryMachine]:
+    """Return the machines with the first few turned, so that callers spread over them."""
+    return machines[turn:count] + machines[:turn] + machines[count:]
--- /dev/null
+++ b/packages/kitekeel-callers/src/kitekeel_callers/intake.py
@@ -0,0 +1,158 @@
+"""The WSGI application that takes callers' requests."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterable, Iterator
+from http import HTTPStatus
+from typing import Protocol
+
+import msgspec
+
+from kitekeel_callers.answers import (
+    ANSWERED,
+    CODE_HEADER,
+    OUTCOME_HEADER,
+    OwnAnswer,
+    error_answer,
+    json_answer,
+)
+from kitekeel_callers.caller_request import (
+    CallerRequest,
+    Environment,
+    RequestReader,
+    stated_key,
+)
+from kitekeel_callers.idempotency import IdempotentRequests, KeptAnswerError
+from kitekeel_steering.errors import KitekeelError, NoConfigurationError, NotRunError
+from kitekeel_steering.http_messages import StreamedAnswer
+from kitekeel_steering.key_table import KeptAnswer
+from kitekeel_steering.metrics import Metrics
+
+_OWN_STATUS_HEADER = "Kitekeel-Answer-Status"
+_NOT_KEPT = "answer-not-kept"
+
+StartResponse = Callable[[str, list[tuple[str, str]]], object]
+
+
+class RequestRunner(Protocol):
+    """Runs a request at some back end."""
+
+    def is_ready(self) -> bool:
+        """Tell whether there is a configuration to go by."""
+
+    def run(self, request: CallerRequest, deadline: float) -> StreamedAnswer:
+        """Return a back end's answer, or raise why there is none."""
+
+
+class Intake:
+    """Takes requests, and answers each with its back end's answer or one of its own.
+
+    Args:
+        reader: reads requests.
+        runner: runs them.
+        idempotent: wraps those that may not be repeated.
+        metrics: counts outcomes.
+        is_leaving: while true, callers are asked to close their connections.
+    """
+
+    def __init__(
+        self,
+        reader: RequestReader,
+        runner: RequestRunner,
+        idempotent: IdempotentRequests,
+        metrics: Metrics,
+        is_leaving: Callable[[], bool],
+    ) -> None:
+        self._reader = reader
+        self._runner = runner
+        self._idempotent = idempotent
+        self._metrics = metrics
+        self._is_leaving = is_leaving
+
+    def __call__(self, environment: Environment, start_response: StartResponse) -> Iterable[bytes]:
+        """Answer one request."""
+        self._metrics.increment("requests.received")
+        try:
+            request = self._reader.read(environment)
+        except NotRunError as error:
+            return self._own(error_answer(error, bool(stated_key(environment))), start_response)
+        try:
+            answer = self._run(request)
+        except KeptAnswerError as error:
+            return self._own(_kept_answer(error.answer), start_response)
+        except KitekeelError as error:
+            return self._own(error_answer(error), start_response)
+        return self._streamed(answer, start_response)
+
+    def _run(self, request: CallerRequest) -> StreamedAnswer:
+        deadline = time.monotonic() + request.deadline_seconds
+        if request.repeatable:
+            return self._run_now(request, deadline)
+        return self._idempotent.run(request, deadline, self._run_now)
+
+    def _run_now(self, request: CallerRequest, deadline: float) -> StreamedAnswer:
+        if not self._runner.is_ready():
+            raise NoConfigurationError("no configuration is known yet", 1.0)
+        return self._runner.run(request, deadline)
+
+    def _own(self, answer: OwnAnswer, start_response: StartResponse) -> Iterable[bytes]:
+        headers = list(answer.headers)
+        outcome = dict(headers).get(OUTCOME_HEADER, ANSWERED)
+        self._metrics.increment(f"requests.{outcome}")
+        self._add_close(headers)
+        start_response(answer.status_line, headers)
+        return [answer.body]
+
+    def _streamed(self, answer: StreamedAnswer, start_response: StartResponse) -> Iterable[bytes]:
+        headers = list(answer.headers)
+        if all(name != OUTCOME_HEADER for name, _ in headers):
+            headers.append((OUTCOME_HEADER, ANSWERED))
+        if answer.length is not None:
+            headers.append(("Content-Length", str(answer.length)))
+        self._metrics.increment("requests.answered")
+        self._add_close(headers)
+        start_response(f"{answer.status} {answer.reason}", headers)
+        return _AnswerBody(answer.pieces)
+
+    def _add_close(self, headers: list[tuple[str, str]]) -> None:
+        if self._is_leaving():
+            headers.append(("Connection", "close"))
+
+
+class _AnswerBody(Iterator[bytes]):
+    """A streamed body; the server closes it also when the caller goes away."""
+
+    def __init__(self, pieces: Iterator[bytes]) -> None:
+        self._pieces = pieces
+
+    def __next__(self) -> bytes:
+        return next(self._pieces)
+
+    def close(self) -> None:
+        """End the body early, giving back what it holds."""
+        close = getattr(self._pieces, "close", None)
+        if close is not None:
+            close()
+
+
+class _NotKept(msgspec.Struct, frozen=True):
+    """Tells a repeat that the request has run, where the answer was too long to keep."""
+
+    outcome: str
+    code: str
+    answer_status: int
+
+
+def _kept_answer(answer: KeptAnswer) -> OwnAnswer:
+    if answer.body is not None:
+        headers = (*answer.headers, (OUTCOME_HEADER, ANSWERED))
+        return json_answer(HTTPStatus(answer.status), answer.body, headers)
+    body = msgspec.json.encode(_NotKept(ANSWERED, _NOT_KEPT, answer.status))
+    headers = (
+        ("Content-Type", "application/json"),
+        (OUTCOME_HEADER, ANSWERED),
+        (CODE_HEADER, _NOT_KEPT),
+        (_OWN_STATUS_HEADER, str(answer.status)),
+    )
+    return json_answer(HTTPStatus.CONFLICT, body, headers)
--- /dev/null
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Settings, wiring and life cycle of kitekeeld."""
--- /dev/null
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/main.py
@@ -0,0 +1,55 @@
+"""The ``kitekeeld`` binary: checks its settings, runs, and stops as planned on SIGTERM."""
+
+from __future__ import annotations
+
+import signal
+import sys
+from pathlib import Path
+
+import defopt
+import eliot
+
+from kitekeel_daemon.daemon import Daemon
+from kitekeel_daemon.planned_stop import PlannedStop
+from kitekeel_steering.errors import KitekeelError
+from kitekeel_steering.findings import FindingsError
+from kitekeel_steering.settings import Settings, parse_settings
+
+_EXIT_FAILED = 1
+_EXIT_FINDINGS = 2
+
+
+def run_daemon(*, settings: Path) -> int:
+    """Run one daemon until SIGTERM, SIGINT or an operator's stop.
+
+    :param settings: the INI file with the daemon's settings
+    """
+    try:
+        checked = parse_settings(settings.read_text(), str(settings))
+    except FindingsError as error:
+        print("\n".join(str(each) for each in error.findings), file=sys.stderr)
+        return _EXIT_FINDINGS
+    except OSError as error:
+        print(f"settings: {error}", file=sys.stderr)
+        return _EXIT_FINDINGS
+    eliot.to_file(sys.stdout)
+    return _run(checked)
+
+
+def main() -> None:
+    """Run the command line."""
+    sys.exit(int(defopt.run(run_daemon)))
+
+
+def _run(settings: Settings) -> int:
+    try:
+        daemon = Daemon(settings)
+        daemon.start()
+    except (KitekeelError, OSError) as error:
+        print(f"cannot start: {error}", file=sys.stderr)
+        return _EXIT_FAILED
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: daemon.stop_requested.set())
+    daemon.stop_requested.wait()
+    PlannedStop(daemon).run()
+    return 0
--- /dev/null
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/metrics.py
@@ -0,0 +1,39 @@
+"""Counters kept in memory and sent to statsd by a loop of their own, one packet a second."""
+
+from __future__ import annotations
+
+import threading
+
+import statsd
+
+from kitekeel_steering.metrics import MemoryMetrics
+from kitekeel_steering.settings import MetricsSettings
+
+_INTERVAL_SECONDS = 1.0
+
+
+class StatsdSender:
+    """Sends what the counters have grown by since the last time.
+
+    Sending in a loop, not at each count, keeps the hot paths free of system calls.
+    """
+
+    def __init__(self, metrics: MemoryMetrics, settings: MetricsSettings, name: str) -> None:
+        self._metrics = metrics
+        self._address = settings.address
+        self._prefix = f"{settings.prefix}.{name}"
+        self._sent: dict[str, int] = {}
+
+    def run(self, stop: threading.Event) -> None:
+        """Send until told to stop."""
+        if not self._address:
+            return
+        host, _, port = self._address.rpartition(":")
+        client = statsd.StatsClient(host.strip("[]"), int(port), prefix=self._prefix)
+        while not stop.wait(_INTERVAL_SECONDS):
+            with client.pipeline() as pipeline:
+                for name, count in self._metrics.snapshot().items():
+                    grown = count - self._sent.get(name, 0)
+                    self._sent[name] = count
+                    if grown:
+                        pipeline.incr(name, grown)
--- /dev/null
+++ b/packages/kitekeel-lab/src/kitekeel_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, fault proxy, load and experiments (not shipped as a binary)."""
--- /dev/null
+++ b/packages/kitekeel-lab/src/kitekeel_lab/__main__.py
@@ -0,0 +1,5 @@
+"""The lab's command line: ``python -m kitekeel_lab ...``."""
+
+from kitekeel_lab.cli import main
+
+main()
--- /dev/null
+++ b/packages/kitekeel-lab/src/kitekeel_lab/cli.py
@@ -0,0 +1,58 @@
+"""Commands of the lab: stand-ins as processes, the demonstration, experiments, all tests."""
+
+from __future__ import annotations
+
+import signal
+import sys
+import threading
+from collections.abc import Callable
+from pathlib import Path
+
+import defopt
+import msgspec
+
+from kitekeel_lab.back_end_messages import BackEndSpec
+from kitekeel_lab.back_end_server import serve_back_ends
+from kitekeel_lab.platform_server import serve_platform
+from kitekeel_lab.verify import run_all_tests
+
+_SEED = 1
+
+
+def platform(address: str) -> int:
+    """Run the platform stand-in until told to end.
+
+    :param address: IP:port
+    """
+    return _serve_until_told(lambda: serve_platform(address))
+
+
+def back_ends(file: Path, control: str, *, seed: int = _SEED) -> int:
+    """Run back-end stand-ins until told to end.
+
+    :param file: their specifications as JSON
+    :param control: IP:port of their control
+    :param seed: of their random choices
+    """
+    specs = msgspec.json.decode(file.read_bytes(), type=list[BackEndSpec])
+    return _serve_until_told(lambda: serve_back_ends(specs, control, seed))
+
+
+def verify() -> int:
+    """Run all tests and print how many passed and failed."""
+    return run_all_tests()
+
+
+def _serve_until_told(start: Callable[[], object]) -> int:
+    told = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: told.set())
+    server = start()
+    told.wait()
+    del server
+    return 0
+
+
+def main() -> None:
+    """Run the command line."""
+    sys.exit(int(defopt.run([platform, back_ends, verify])))
--- /dev/null
+++ b/packages/kitekeel-lab/src/kitekeel_lab/platform_store.py
@@ -0,0 +1,59 @@
+"""The platform stand-in's store: values with versions, leases and waiting reads."""
+
+from __future__ import annotations
+
+import threading
+import time
+
+import msgspec
+
+
+class StoredValue(msgspec.Struct):
+    """One value; a lease has an end."""
+
+    version: int
+    value: bytes
+    expires_at: float | None
+
+
+class PlatformStore:
+    """Versioned values in memory."""
+
+    def __init__(self) -> None:
+        self._values: dict[str, StoredValue] = {}
+        self._changed = threading.Condition()
+
+    def read(self, key: str) -> StoredValue | None:
+        """Return a value, unless there is none or its lease has ended."""
+        with self._changed:
+            return self._live(key)
+
+    def read_after(self, key: str, version: int, wait_seconds: float) -> StoredValue | None:
+        """Wait for a version later than the given one."""
+        with self._changed:
+            self._changed.wait_for(lambda: self._later(key, version) is not None, wait_seconds)
+            return self._later(key, version)
+
+    def write(
+        self, key: str, value: bytes, expected: int, lease_seconds: float | None
+    ) -> int | None:
+        """Write if the version is the expected one; return the new version."""
+        with self._changed:
+            present = self._live(key)
+            if (present.version if present else 0) != expected:
+                return None
+            expires_at = None if lease_seconds is None else time.monotonic() + lease_seconds
+            self._values[key] = StoredValue(expected + 1, value, expires_at)
+            self._changed.notify_all()
+            return expected + 1
+
+    def _later(self, key: str, version: int) -> StoredValue | None:
+        found = self._live(key)
+        return found if found is not None and found.version > version else None
+
+    def _live(self, key: str) -> StoredValue | None:
+        found = self._values.get(key)
+        if found is None or found.expires_at is None or found.expires_at >= time.monotonic():
+            return found
+        del self._values[key]
+        return None
--- /dev/null
+++ b/packages/kitekeel-lab/src/kitekeel_lab/verify.py
@@ -0,0 +1,101 @@
+"""Runs all tests: pytest over ``tests`` and behave over ``features``, and counts the results.
+
+A test listed in KNOWN-RED.txt (``test: cause, issue``, three lines at most) that fails is printed
+and not counted as failed; everything else counts.
+"""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+import tempfile
+import time
+import xml.etree.ElementTree as ElementTree
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+_KNOWN_RED_FILE = Path("KNOWN-RED.txt")
+_MOST_KNOWN_RED = 3
+
+
+class TestResult(msgspec.Struct, frozen=True):
+    """One test and whether it passed."""
+
+    name: str
+    passed: bool
+
+
+def run_all_tests() -> int:
+    """Run every test, print the counts on the last line, and return the exit code."""
+    started_at = time.monotonic()
+    results = [*_run_pytest(), *_run_behave()]
+    known_red = _known_red()
+    failed = [each.name for each in results if not each.passed]
+    known = [name for name in failed if name in known_red]
+    for name in known:
+        print(f"known red: {name}: {known_red[name]}")
+    unexpected = [name for name in failed if name not in known_red]
+    for name in unexpected:
+        print(f"failed: {name}")
+    passed = sum(each.passed for each in results)
+    print(f"took {time.monotonic() - started_at:.0f} s")
+    skipped = f", {len(known)} skipped" if known else ""
+    print(f"{passed} passed, {len(unexpected)} failed{skipped}")
+    return 1 if unexpected or not results else 0
+
+
+def _run_pytest() -> list[TestResult]:
+    with tempfile.TemporaryDirectory() as folder:
+        report = Path(folder) / "pytest.xml"
+        command = ["-m", "pytest", "-q", "--doctest-modules", f"--junitxml={report}"]
+        subprocess.run([sys.executable, *command, "tests", "packages"], check=False)
+        if not report.exists():
+            return [TestResult("pytest", False)]
+        cases = ElementTree.parse(report).getroot().iter("testcase")
+        return [
+            TestResult(
+                f"{case.get('classname')}.{case.get('name')}",
+                case.find("failure") is None and case.find("error") is None,
+            )
+            for case in cases
+        ]
+
+
+def _run_behave() -> list[TestResult]:
+    with tempfile.TemporaryDirectory() as folder:
+        report = Path(folder) / "behave.json"
+        command = [
+            "-m",
+            "behave",
+            "--no-color",
+            "-f",
+            "progress",
+            "-f",
+            "json",
+            "-o",
+            "/dev/stdout",
+        ]
+        command += ["-o", str(report)]
+        subprocess.run([sys.executable, *command, "features"], check=False)
+        if not report.exists() or not report.read_text().strip():
+            return [TestResult("behave", False)]
+        features: list[dict[str, Any]] = json.loads(report.read_text())
+        return [
+            TestResult(f"{feature['name']}: {element['name']}", element.get("status") == "passed")
+            for feature in features
+            for element in feature.get("elements", [])
+            if element["type"] == "scenario"
+        ]
+
+
+def _known_red() -> dict[str, str]:
+    if not _KNOWN_RED_FILE.exists():
+        return {}
+    lines = [line for line in _KNOWN_RED_FILE.read_text().splitlines() if line.strip()]
+    if len(lines) > _MOST_KNOWN_RED:
+        raise SystemExit(f"{_KNOWN_RED_FILE} may have {_MOST_KNOWN_RED} lines")
+    split = (line.rpartition(": ") for line in lines)
+    return {name: cause for name, _, cause in split}
--- /dev/null
+++ b/packages/kitekeel-operators/src/kitekeel_operators/__init__.py
@@ -0,0 +1,1 @@
+"""Query and command language, operator end points, the kitekeel binary."""
--- /dev/null
+++ b/packages/kitekeel-peers/src/kitekeel_peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between daemons: membership, configuration spread, grants."""
--- /dev/null
+++ b/packages/kitekeel-peers/src/kitekeel_peers/configuration_spread.py
@@ -0,0 +1,152 @@
+"""The configuration in force in this daemon, and its spread to the others.
+
+A daemon holds the highest revision it has seen and never goes lower. A change spreads down a tree:
+each daemon takes it, passes it on to its part of the targets, and answers who has it. Heartbeats
+carry the revision, so that whoever the tree missed pulls it from the next neighbour that has it.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable, Sequence
+from concurrent import futures
+
+import msgspec
+
+from kitekeel_peers.messages import (
+    PullReply,
+    PullRequest,
+    SpreadReply,
+    SpreadRequest,
+    SpreadTarget,
+)
+from kitekeel_peers.rpc import PeerClient, PeerServer
+from kitekeel_steering.errors import PeerError
+from kitekeel_steering.model import Configuration, decode_configuration, encode_configuration
+
+PULL = "Pull"
+SPREAD = "Spread"
+
+_FAN_OUT = 8
+_PULL_TIMEOUT_SECONDS = 2.0
+_LEAST_SECONDS_FOR_RELAY = 0.2
+_RELAY_MARGIN = 0.8
+
+
+class ConfigurationSpread:
+    """Holds and spreads the configuration.
+
+    Args:
+        client: calls other daemons.
+        own_address: where this daemon's document can be pulled.
+        own_instance: this daemon's instance, for confirmations.
+        on_adopt: called with each configuration that comes into force here.
+    """
+
+    def __init__(
+        self,
+        client: PeerClient,
+        own_address: str,
+        own_instance: str,
+        on_adopt: Callable[[Configuration], None],
+    ) -> None:
+        self._client = client
+        self._own_address = own_address
+        self._own_instance = own_instance
+        self._on_adopt = on_adopt
+        self._lock = threading.Lock()
+        self._current = Configuration()
+        self._document = encode_configuration(self._current)
+
+    def register(self, server: PeerServer) -> None:
+        """Serve the methods of the spread."""
+        server.register(PULL, PullRequest, self._handle_pull)
+        server.register(SPREAD, SpreadRequest, self._handle_spread)
+
+    def current(self) -> Configuration:
+        """Return the configuration in force here."""
+        return self._current
+
+    def revision(self) -> int:
+        """Return the revision in force here."""
+        return self._current.revision
+
+    def adopt(self, configuration: Configuration) -> bool:
+        """Put a configuration into force unless it is not later than the present one.
+
+        The listener runs under the lock, so that two revisions arriving at once come into force in
+        their order and the lower one is never put on top of the higher.
+        """
+        with self._lock:
+            if configuration.revision <= self._current.revision:
+                return False
+            self._current = configuration
+            self._document = encode_configuration(configuration)
+            self._on_adopt(configuration)
+            return True
+
+    def pull(self, address: str) -> bool:
+        """Fetch a later configuration from another daemon; tell whether there was one."""
+        request = PullRequest(self.revision())
+        try:
+            reply = self._client.call(address, PULL, request, PullReply, _PULL_TIMEOUT_SECONDS)
+        except PeerError:
+            return False
+        if not reply.document:
+            return False
+        configuration = decode_configuration(reply.document)
+        return self.adopt(msgspec.structs.replace(configuration, revision=reply.revision))
+
+    def spread(self, targets: Sequence[SpreadTarget], seconds: float) -> set[str]:
+        """Bring the present revision to others.
+
+        Returns:
+            The instances on which it, or a later one, is in force; this one included.
+        """
+        confirmed = {self._own_instance}
+        parts = _split([each for each in targets if each.instance != self._own_instance])
+        if not parts:
+            return confirmed
+        deadline = time.monotonic() + seconds
+        with futures.ThreadPoolExecutor(len(parts), thread_name_prefix="spread") as workers:
+            for reached in workers.map(lambda part: self._relay(part, deadline), parts):
+                confirmed |= reached
+        return confirmed
+
+    def _relay(self, part: Sequence[SpreadTarget], deadline: float) -> set[str]:
+        """Hand a part of the targets to its first member; if that is silent, to the next."""
+        remaining = list(part)
+        while remaining:
+            seconds = deadline - time.monotonic()
+            if seconds < _LEAST_SECONDS_FOR_RELAY:
+                break
+            head, *rest = remaining
+            request = SpreadRequest(
+                self.revision(), self._own_address, tuple(rest), seconds * _RELAY_MARGIN
+            )
+            try:
+                reply = self._client.call(head.peer_address, SPREAD, request, SpreadReply, seconds)
+                return set(reply.confirmed)
+            except PeerError:
+                remaining = rest
+        return set()
+
+    def _handle_pull(self, request: PullRequest) -> PullReply:
+        with self._lock:
+            if self._current.revision <= request.later_than:
+                return PullReply(self._current.revision, b"")
+            return PullReply(self._current.revision, self._document)
+
+    def _handle_spread(self, request: SpreadRequest) -> SpreadReply:
+        if self.revision() < request.revision:
+            self.pull(request.source_address)
+        confirmed = self.spread(request.targets, request.remaining_seconds)
+        if self.revision() < request.revision:
+            confirmed.discard(self._own_instance)
+        return SpreadReply(tuple(confirmed))
+
+
+def _split(targets: Sequence[SpreadTarget]) -> list[list[SpreadTarget]]:
+    parts = [list(targets[start::_FAN_OUT]) for start in range(_FAN_OUT)]
+    return [part for part in parts if part]
--- /dev/null
+++ b/packages/kitekeel-peers/src/kitekeel_peers/membership.py
@@ -0,0 +1,283 @@
+"""Membership between daemons: heartbeats with piggy-backed news, after SWIM (Das et al., 2002).
+
+It is not consensus: views differ for a while, and nothing that must be agreed rests on it.
+"""
+
+from __future__ import annotations
+
+import random
+import threading
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from kitekeel_peers.member_table import ChangeListener, MemberTable
+from kitekeel_peers.messages import (
+    JoinReply,
+    JoinRequest,
+    MemberRecord,
+    MemberState,
+    ProbeReply,
+    ProbeRequest,
+)
+from kitekeel_peers.neighbours import neighbours
+from kitekeel_peers.rpc import PeerClient, PeerServer
+from kitekeel_steering.clock import Clock
+from kitekeel_steering.errors import PeerError
+from kitekeel_steering.events import HybridClock
+
+PROBE = "Probe"
+JOIN = "Join"
+
+
+class MembershipTiming(msgspec.Struct, frozen=True):
+    """All in seconds, but for the number of helpers.
+
+    Attributes:
+        probe_interval_seconds: time between two probes by one daemon.
+        suspicion_seconds: time that a suspected member has to refute.
+        indirect_probes: how many others are asked to probe a silent member.
+    """
+
+    probe_interval_seconds: float = 0.5
+    probe_timeout_seconds: float = 0.5
+    suspicion_seconds: float = 3.0
+    full_sync_interval_seconds: float = 10.0
+    join_timeout_seconds: float = 2.0
+    indirect_probes: int = 2
+
+
+class Membership:
+    """Keeps one daemon's view of the others.
+
+    Args:
+        own: this daemon's record.
+        client: calls other daemons.
+        clock: times suspicions.
+        hybrid_clock: stamps messages.
+        revision: returns the revision of the configuration in force here.
+        on_later_revision: called with the address of a daemon that has a later one.
+        on_change: called with each changed member record.
+        seeds: returns addresses to join through, from settings and the machine list.
+    """
+
+    def __init__(
+        self,
+        own: MemberRecord,
+        client: PeerClient,
+        clock: Clock,
+        hybrid_clock: HybridClock,
+        revision: Callable[[], int],
+        on_later_revision: Callable[[str], None],
+        on_change: ChangeListener,
+        seeds: Callable[[], Iterable[str]],
+        timing: MembershipTiming | None = None,
+    ) -> None:
+        self.table = MemberTable(own, clock, on_change)
+        self._client = client
+        self._hybrid_clock = hybrid_clock
+        self._revision = revision
+        self._on_later_revision = on_later_revision
+        self._seeds = seeds
+        self._timing = timing or MembershipTiming()
+        self._clock = clock
+        self._round: list[str] = []
+        self._random = random.Random(own.instance)
+        self._last_full_sync = clock.monotonic()
+
+    def register(self, server: PeerServer) -> None:
+        """Serve the methods of membership."""
+        server.register(PROBE, ProbeRequest, self._handle_probe)
+        server.register(JOIN, JoinRequest, self._handle_join)
+
+    def live_in_region(self, region: str) -> list[MemberRecord]:
+        """Return the members of a region that are alive, not suspected and not leaving."""
+        return [
+            each
+            for each in self.table.live()
+            if each.region == region and each.state is MemberState.ALIVE and not each.leaving
+        ]
+
+    def resolve_home(self, instance: str) -> MemberRecord | None:
+        """Return the live member that answers for an instance's keys: itself or its successor."""
+        record = self.table.find(instance)
+        seen: set[str] = set()
+        while record is not None and record.successor and record.instance not in seen:
+            seen.add(record.instance)
+            record = self.table.find(record.successor)
+        if record is None or record.state >= MemberState.DEAD:
+            return None
+        return record
+
+    def announce_leaving(self) -> None:
+        """Tell all that callers should no longer be sent here."""
+        self.table.update_own(msgspec.structs.replace(self.table.own(), leaving=True))
+        self.probe_neighbours()
+
+    def announce_successor(self, successor: str) -> None:
+        """Tell all who answers for this daemon's keys from now on."""
+        self.table.update_own(msgspec.structs.replace(self.table.own(), successor=successor))
+        self.probe_neighbours()
+
+    def announce_left(self) -> None:
+        """Tell all that this daemon has stopped."""
+        record = msgspec.structs.replace(self.table.own(), state=MemberState.LEFT, leaving=True)
+        self.table.update_own(record)
+        self.probe_neighbours()
+
+    def probe_neighbours(self) -> None:
+        """Send the latest news to every neighbour at once."""
+        for record in self._neighbour_records():
+            try:
+                self._probe(record)
+            except PeerError:
+                continue
+
+    def join(self) -> int:
+        """Join through every seed that answers; return how many did."""
+        answered = 0
+        own = self.table.own()
+        for address in sorted(set(self._seeds())):
+            if address == own.peer_address:
+                continue
+            if self._join_through(address):
+                answered += 1
+        return answered
+
+    def run(self, stop: threading.Event) -> None:
+        """Probe a neighbour in turn until told to stop, joining anew while alone."""
+        while not stop.wait(self._timing.probe_interval_seconds):
+            if len(self.table.live()) <= 1:
+                self.join()
+                continue
+            self._probe_next()
+            self._end_suspicions()
+            self.table.forget_ended()
+
+    def _probe_next(self) -> None:
+        if not self._round:
+            self._round = [each.instance for each in self._neighbour_records()]
+            self._random.shuffle(self._round)
+        if not self._round:
+            return
+        record = self.table.find(self._round.pop())
+        if record is None or record.state >= MemberState.DEAD:
+            return
+        try:
+            self._probe(record)
+        except PeerError:
+            if not self._probe_through_others(record):
+                self.table.set_state(record.instance, MemberState.SUSPECT)
+
+    def _neighbour_records(self) -> list[MemberRecord]:
+        live = {each.instance: each for each in self.table.live()}
+        return [live[name] for name in neighbours(self.table.own().instance, live)]
+
+    def _probe(self, record: MemberRecord, target: str = "") -> ProbeReply:
+        request = ProbeRequest(
+            sender=self.table.own().instance,
+            stamp=self._hybrid_clock.tick(),
+            updates=self.table.take_news(),
+            revision=self._revision(),
+            digest=self.table.digest(),
+            target=target,
+        )
+        # A helper needs the time of its own probe before it can answer.
+        timeout = self._timing.probe_timeout_seconds * (2 if target else 1)
+        reply = self._client.call(record.peer_address, PROBE, request, ProbeReply, timeout)
+        self._hybrid_clock.observe(reply.stamp)
+        self.table.merge(reply.updates)
+        if record.state is MemberState.SUSPECT and not target:
+            self._clear_suspicion(record)
+        self._compare(record.peer_address, reply.revision, reply.digest)
+        return reply
+
+    def _clear_suspicion(self, record: MemberRecord) -> None:
+        """Tell a suspected member that answers of the suspicion, so that it refutes it."""
+        self.table.merge([record])
+
+    def _probe_through_others(self, record: MemberRecord) -> bool:
+        others = [
+            each
+            for each in self.table.live()
+            if each.state is MemberState.ALIVE
+            and each.instance not in (record.instance, self.table.own().instance)
+        ]
+        count = min(len(others), self._timing.indirect_probes)
+        for helper in self._random.sample(others, count):
+            try:
+                if self._probe(helper, record.instance).reached:
+                    return True
+            except PeerError:
+                continue
+        return False
+
+    def _end_suspicions(self) -> None:
+        for record in self.table.live():
+            if record.state is not MemberState.SUSPECT:
+                continue
+            suspected_for = self.table.seconds_in_state(record.instance)
+            if suspected_for <= self._timing.suspicion_seconds:
+                continue
+            if self.table.set_state(record.instance, MemberState.DEAD):
+                self._client.forget(record.peer_address)
+
+    def _compare(self, address: str, revision: int, digest: int) -> None:
+        if revision > self._revision():
+            self._on_later_revision(address)
+        since = self._clock.monotonic() - self._last_full_sync
+        differs = digest != self.table.digest()
+        if differs and since > self._timing.full_sync_interval_seconds:
+            self._join_through(address)
+
+    def _join_through(self, address: str) -> bool:
+        request = JoinRequest(self.table.own(), self._hybrid_clock.tick())
+        timeout = self._timing.join_timeout_seconds
+        self._last_full_sync = self._clock.monotonic()
+        try:
+            reply = self._client.call(address, JOIN, request, JoinReply, timeout)
+        except PeerError:
+            return False
+        self._hybrid_clock.observe(reply.stamp)
+        self.table.merge(reply.records)
+        if reply.revision > self._revision():
+            self._on_later_revision(address)
+        return True
+
+    def _handle_probe(self, request: ProbeRequest) -> ProbeReply:
+        self._hybrid_clock.observe(request.stamp)
+        self.table.merge(request.updates)
+        sender = self.table.find(request.sender)
+        if sender is not None and request.revision > self._revision():
+            self._on_later_revision(sender.peer_address)
+        reached = not request.target or self._reach(request.target)
+        return ProbeReply(
+            instance=self.table.own().instance,
+            stamp=self._hybrid_clock.tick(),
+            updates=(*self.table.take_news(), *self._unknown_to_sender(sender)),
+            revision=self._revision(),
+            digest=self.table.digest(),
+            reached=reached,
+        )
+
+    def _unknown_to_sender(self, sender: MemberRecord | None) -> tuple[MemberRecord, ...]:
+        """Return the sender's own record where it is thought dead, so that it can refute."""
+        if sender is None or sender.state is MemberState.ALIVE:
+            return ()
+        return (sender,)
+
+    def _reach(self, instance: str) -> bool:
+        record = self.table.find(instance)
+        if record is None:
+            return False
+        try:
+            self._probe(record)
+        except PeerError:
+            return False
+        return True
+
+    def _handle_join(self, request: JoinRequest) -> JoinReply:
+        self._hybrid_clock.observe(request.stamp)
+        self.table.merge([request.record])
+        records = tuple(each for each in self.table.all() if each.state is not MemberState.DEAD)
+        return JoinReply(records, self._revision(), self._hybrid_clock.tick())
--- /dev/null
+++ b/packages/kitekeel-peers/src/kitekeel_peers/messages.py
@@ -0,0 +1,141 @@
+"""Typed messages between daemons, encoded as MessagePack arrays by msgspec."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from kitekeel_steering.events import Stamp
+from kitekeel_steering.key_table import KeyRecord
+
+
+class MemberState(enum.IntEnum):
+    """State of a member; among records of one counter the higher state wins."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+class MemberRecord(msgspec.Struct, frozen=True, array_like=True):
+    """What the daemons tell each other about one daemon instance.
+
+    Attributes:
+        instance: unique for each process start.
+        place: number of the entry machine in its region, from 1.
+        counter: raised by the member itself to refute a suspicion.
+        leaving: it is named to callers no more, but still serves.
+        successor: the instance that answers for its keys after it has left.
+    """
+
+    instance: str
+    region: str
+    zone: str
+    place: int
+    peer_address: str
+    caller_address: str
+    operator_address: str
+    counter: int = 0
+    state: MemberState = MemberState.ALIVE
+    leaving: bool = False
+    successor: str = ""
+
+    def outranks(self, other: MemberRecord) -> bool:
+        """Tell whether this record is newer than another one of the same instance."""
+        if other.state is MemberState.LEFT:
+            return False
+        if self.state is MemberState.LEFT:
+            return True
+        return (self.counter, self.state) > (other.counter, other.state)
+
+
+class ProbeRequest(msgspec.Struct, frozen=True, array_like=True):
+    """A heartbeat with news.
+
+    Attributes:
+        digest: hash over all member records the sender knows.
+        target: the member to be probed on the sender's behalf; empty for the receiver itself.
+    """
+
+    sender: str
+    stamp: Stamp
+    updates: tuple[MemberRecord, ...]
+    revision: int
+    digest: int
+    target: str = ""
+
+
+class ProbeReply(msgspec.Struct, frozen=True, array_like=True):
+    """The answer to a heartbeat."""
+
+    instance: str
+    stamp: Stamp
+    updates: tuple[MemberRecord, ...]
+    revision: int
+    digest: int
+    reached: bool = True
+
+
+class JoinRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Asks for every member record, giving one's own."""
+
+    record: MemberRecord
+    stamp: Stamp
+
+
+class JoinReply(msgspec.Struct, frozen=True, array_like=True):
+    """Every member record, and the configuration's revision."""
+
+    records: tuple[MemberRecord, ...]
+    revision: int
+    stamp: Stamp
+
+
+class PullRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Asks for the configuration if it is later than a revision."""
+
+    later_than: int
+
+
+class PullReply(msgspec.Struct, frozen=True, array_like=True):
+    """The configuration document, empty where there is no later one."""
+
+    revision: int
+    document: bytes
+
+
+class SpreadTarget(msgspec.Struct, frozen=True, array_like=True):
+    """A daemon that is to take a configuration."""
+
+    instance: str
+    peer_address: str
+
+
+class SpreadRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Tells of a revision; the receiver takes it and passes it on to its part of the targets."""
+
+    revision: int
+    source_address: str
+    targets: tuple[SpreadTarget, ...]
+    remaining_seconds: float
+
+
+class SpreadReply(msgspec.Struct, frozen=True, array_like=True):
+    """The instances on which the revision, or a later one, is in force."""
+
+    confirmed: tuple[str, ...]
+
+
+class HandoverRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Hands a part of a stopping instance's keys to its successor."""
+
+    source: str
+    records: tuple[KeyRecord, ...]
+
+
+class HandoverReply(msgspec.Struct, frozen=True, array_like=True):
+    """Tells that the records were taken over."""
+
+    accepted: bool
--- /dev/null
+++ b/packages/kitekeel-platform/src/kitekeel_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's key-value service and machine list."""
--- /dev/null
+++ b/packages/kitekeel-platform/src/kitekeel_platform/client.py
@@ -0,0 +1,178 @@
+"""Client of the platform's key-value service and machine list, over HTTP.
+
+The protocol (docs/PLATFORM.md): ``GET /v1/values/KEY`` answers the value with its version in the
+``Version`` header; with ``after=N&wait=S`` it waits for a later version. ``PUT
+/v1/values/KEY?version=N`` writes if the version is still N, 0 meaning that there is none; ``ttl=S``
+makes it a lease. ``GET /v1/machines`` answers the live and leaving machines.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from urllib.parse import quote, urlencode
+
+import msgspec
+import urllib3
+
+from kitekeel_platform.rate_budget import RateBudget
+from kitekeel_steering.errors import (
+    PlatformBudgetError,
+    PlatformUnavailableError,
+    WriteOutcomeUnknownError,
+)
+from kitekeel_steering.metrics import Metrics
+
+_CONNECTIONS = 8
+_WATCH_MARGIN_SECONDS = 2.0
+_OK = 200
+_NOT_MODIFIED = 304
+_NOT_FOUND = 404
+_CONFLICT = 409
+_TOO_MANY_REQUESTS = 429
+_FIRST_SERVER_ERROR = 500
+
+
+class VersionedValue(msgspec.Struct, frozen=True):
+    """A value and its version, which grows by one with each write; version 0 is no value."""
+
+    version: int
+    value: bytes
+
+
+class Machine(msgspec.Struct, frozen=True):
+    """An entry of the machine list, which lags behind the truth.
+
+    Attributes:
+        role: ``daemon`` or ``backend``.
+        address: where it serves, ``IP:port``; a daemon's is its peer address.
+        leaving: it will go away soon.
+    """
+
+    role: str
+    address: str
+    leaving: bool = False
+
+
+class MachineList(msgspec.Struct, frozen=True):
+    """The platform's answer about machines."""
+
+    machines: tuple[Machine, ...] = ()
+
+
+class PlatformClient:
+    """Talks to the platform's service.
+
+    Args:
+        address: ``IP:port``.
+        budget: this daemon's share of the platform's call rate.
+        metrics: counts calls and failures.
+        timeout_seconds: of one call, apart from a watch's wait.
+    """
+
+    def __init__(
+        self, address: str, budget: RateBudget, metrics: Metrics, timeout_seconds: float = 2.0
+    ) -> None:
+        self._base = f"http://{address}/v1"
+        self._budget = budget
+        self._metrics = metrics
+        self._timeout_seconds = timeout_seconds
+        self._http = urllib3.PoolManager(maxsize=_CONNECTIONS, retries=False)
+
+    def read(self, key: str) -> VersionedValue:
+        """Return a value; version 0 where there is none.
+
+        Raises:
+            PlatformUnavailableError: no answer, or none that tells the value.
+            PlatformBudgetError: the budget is used up.
+        """
+        response = self._read(f"/values/{quote(key)}", self._timeout_seconds)
+        if response.status == _NOT_FOUND:
+            return VersionedValue(0, b"")
+        return _versioned(response)
+
+    def watch(self, key: str, after: int, wait_seconds: float) -> VersionedValue | None:
+        """Wait for a version later than the given one; ``None`` where there was none in time.
+
+        Raises:
+            PlatformUnavailableError: no answer.
+            PlatformBudgetError: the budget is used up.
+        """
+        query = urlencode({"after": after, "wait": wait_seconds})
+        timeout = wait_seconds + _WATCH_MARGIN_SECONDS
+        response = self._read(f"/values/{quote(key)}?{query}", timeout)
+        if response.status in (_NOT_MODIFIED, _NOT_FOUND):
+            return None
+        return _versioned(response)
+
+    def write(
+        self, key: str, value: bytes, expected_version: int, lease_seconds: float | None = None
+    ) -> int | None:
+        """Write a value if its version is still the expected one.
+
+        Returns:
+            The new version, or ``None`` where another write came first.
+
+        Raises:
+            PlatformUnavailableError: the write was certainly not made.
+            PlatformBudgetError: the budget is used up; nothing was sent.
+            WriteOutcomeUnknownError: the write may have been made.
+        """
+        query: dict[str, str] = {"version": str(expected_version)}
+        if lease_seconds is not None:
+            query["ttl"] = str(lease_seconds)
+        url = f"{self._base}/values/{quote(key)}?{urlencode(query)}"
+        self._take_from_budget()
+        try:
+            response = self._http.request("PUT", url, body=value, timeout=self._timeout_seconds)
+        except (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError) as e:
+            self._metrics.increment("platform.failures")
+            raise PlatformUnavailableError("the platform does not accept connections") from e
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            self._metrics.increment("platform.failures")
+            raise WriteOutcomeUnknownError("the answer to a write was lost") from error
+        if response.status == _CONFLICT:
+            return None
+        if response.status == _TOO_MANY_REQUESTS:
+            raise PlatformUnavailableError("the platform limits our rate", _retry_after(response))
+        if response.status >= _FIRST_SERVER_ERROR:
+            raise WriteOutcomeUnknownError(f"the platform answered {response.status} to a write")
+        return int(response.headers["Version"])
+
+    def machines(self) -> MachineList:
+        """Return the machine list.
+
+        Raises:
+            PlatformUnavailableError: no answer.
+            PlatformBudgetError: the budget is used up.
+        """
+        response = self._read("/machines", self._timeout_seconds)
+        return msgspec.json.decode(response.data, type=MachineList)
+
+    def _read(self, path: str, timeout_seconds: float) -> urllib3.BaseHTTPResponse:
+        self._take_from_budget()
+        try:
+            response = self._http.request("GET", self._base + path, timeout=timeout_seconds)
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            self._metrics.increment("platform.failures")
+            raise PlatformUnavailableError("the platform does not answer") from error
+        if response.status not in (_OK, _NOT_MODIFIED, _NOT_FOUND):
+            self._metrics.increment("platform.failures")
+            message = f"the platform answered {response.status} to a read"
+            raise PlatformUnavailableError(message, _retry_after(response))
+        return response
+
+    def _take_from_budget(self) -> None:
+        if not self._budget.try_take():
+            self._metrics.increment("platform.over_budget")
+            raise PlatformBudgetError("the budget of platform calls is used up", 1.0)
+        self._metrics.increment("platform.calls")
+
+
+def _versioned(response: urllib3.BaseHTTPResponse) -> VersionedValue:
+    return VersionedValue(int(response.headers["Version"]), response.data)
+
+
+def _retry_after(response: urllib3.BaseHTTPResponse) -> float:
+    headers: Mapping[str, str] = response.headers
+    value = headers.get("Retry-After", "1")
+    return float(value) if value.isdigit() else 1.0
--- /dev/null
+++ b/packages/kitekeel-platform/src/kitekeel_platform/configuration_store.py
@@ -0,0 +1,135 @@
+"""Keeps the operators' configuration at the platform: one document, changed by compare-and-swap.
+
+Why a change cannot be lost or doubled: its command id is stored in the document with the revision
+it made. The document's revision is the version that the platform gives the value, so a write made
+for revision N+1 can only take effect while the value is at N. When a write's answer is lost, the
+value is read back: with the id in it, the write happened; at a later revision without it, the write
+did not happen and cannot any more; still at N, the same write is made again.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from kitekeel_platform.client import PlatformClient, VersionedValue
+from kitekeel_steering.errors import (
+    ConfigurationConflictError,
+    ConfigurationOutcomeUnknownError,
+    PlatformError,
+    WriteOutcomeUnknownError,
+)
+from kitekeel_steering.model import (
+    CONFIGURATION_KEY,
+    REMEMBERED_COMMANDS,
+    CommandRecord,
+    Configuration,
+    decode_configuration,
+    encode_configuration,
+)
+
+_FIRST_PAUSE_SECONDS = 0.05
+_LONGEST_PAUSE_SECONDS = 0.5
+
+Change = Callable[[Configuration], Configuration]
+
+
+class ConfigurationStore:
+    """Reads, watches and changes the configuration document."""
+
+    def __init__(self, client: PlatformClient) -> None:
+        self._client = client
+
+    def load(self) -> Configuration:
+        """Return the configuration kept at the platform; revision 0 where there is none.
+
+        Raises:
+            PlatformError: it cannot be read now.
+        """
+        return _decode(self._client.read(CONFIGURATION_KEY))
+
+    def watch(self, after: int, wait_seconds: float) -> Configuration | None:
+        """Wait for a revision later than the given one.
+
+        Raises:
+            PlatformError: the platform does not answer.
+        """
+        found = self._client.watch(CONFIGURATION_KEY, after, wait_seconds)
+        return _decode(found) if found is not None else None
+
+    def change(
+        self, command_id: str, text: str, change: Change, deadline_seconds: float
+    ) -> Configuration:
+        """Apply one command to the document.
+
+        Args:
+            command_id: repeats under the same id take effect once.
+            text: the command as given, for the record.
+            change: returns the changed document, or raises ``ConfigurationError``.
+            deadline_seconds: how long to go on trying.
+
+        Returns:
+            The document with the command in it.
+
+        Raises:
+            ConfigurationConflictError: another command came first; nothing was written.
+            ConfigurationOutcomeUnknownError: the deadline passed with a write's answer lost.
+            PlatformError: the deadline passed, and nothing was written.
+        """
+        deadline = time.monotonic() + deadline_seconds
+        pause = _FIRST_PAUSE_SECONDS
+        may_be_written = False
+        base: Configuration | None = None
+        while True:
+            try:
+                current = self.load()
+                if current.find_command(command_id) is not None:
+                    return current
+                if base is not None and current.revision != base.revision:
+                    raise _conflict(base, current)
+                base = current
+                written = self._write(base, command_id, text, change)
+                if written is not None:
+                    return written
+            except WriteOutcomeUnknownError:
+                may_be_written = True
+            except PlatformError:
+                if time.monotonic() >= deadline and not may_be_written:
+                    raise
+            if time.monotonic() >= deadline:
+                raise ConfigurationOutcomeUnknownError(
+                    "the platform did not tell whether the change was written; "
+                    f"repeat it with --command-id {command_id}",
+                    1.0,
+                )
+            time.sleep(pause)
+            pause = min(_LONGEST_PAUSE_SECONDS, pause * 2)
+
+    def _write(
+        self, base: Configuration, command_id: str, text: str, change: Change
+    ) -> Configuration | None:
+        revision = base.revision + 1
+        record = CommandRecord(command_id, revision, text)
+        changed = msgspec.structs.replace(
+            change(base),
+            revision=revision,
+            commands=(*base.commands, record)[-REMEMBERED_COMMANDS:],
+        )
+        document = encode_configuration(changed)
+        version = self._client.write(CONFIGURATION_KEY, document, base.revision)
+        return changed if version is not None else None
+
+
+def _decode(found: VersionedValue) -> Configuration:
+    if found.version == 0:
+        return Configuration()
+    configuration = decode_configuration(found.value)
+    return msgspec.structs.replace(configuration, revision=found.version)
+
+
+def _conflict(base: Configuration, current: Configuration) -> ConfigurationConflictError:
+    between = [each for each in current.commands if each.revision > base.revision]
+    changes = "; ".join(f"revision {each.revision}: {each.text}" for each in between)
+    return ConfigurationConflictError(f"another change came first ({changes}); look and repeat")
--- /dev/null
+++ b/packages/kitekeel-platform/src/kitekeel_platform/rate_budget.py
@@ -0,0 +1,37 @@
+"""A token bucket that keeps a daemon's calls to the platform within its share."""
+
+from __future__ import annotations
+
+import threading
+
+from kitekeel_steering.clock import Clock
+
+
+class RateBudget:
+    """Allows some calls per second, with a burst.
+
+    Args:
+        clock: refills the bucket.
+        per_second: calls earned each second.
+        burst: most calls at once.
+    """
+
+    def __init__(self, clock: Clock, per_second: float, burst: float) -> None:
+        self._clock = clock
+        self._per_second = per_second
+        self._burst = burst
+        self._tokens = burst
+        self._refilled_at = clock.monotonic()
+        self._lock = threading.Lock()
+
+    def try_take(self) -> bool:
+        """Take one call from the budget; tell whether there was one."""
+        with self._lock:
+            now = self._clock.monotonic()
+            earned = (now - self._refilled_at) * self._per_second
+            self._tokens = min(self._burst, self._tokens + earned)
+            self._refilled_at = now
+            if self._tokens < 1.0:
+                return False
+            self._tokens -= 1.0
+            return True
--- /dev/null
+++ b/packages/kitekeel-steering/src/kitekeel_steering/__init__.py
@@ -0,0 +1,1 @@
+"""Typed model, placement, admission, shifts and the capacity ledger."""
--- /dev/null
+++ b/packages/kitekeel-steering/src/kitekeel_steering/admission.py
@@ -0,0 +1,385 @@
+"""Admission of one service in one daemon: who gets a slot, who waits, who is refused.
+
+Waiting requests stand in one queue, the most urgent class first and within a class in the order of
+arrival. Each is served, refused or displaced at once when that is decided; none is held back.
+"""
+
+from __future__ import annotations
+
+import itertools
+import threading
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from kitekeel_steering.clock import Clock
+from kitekeel_steering.errors import (
+    DisplacedError,
+    NoRoomError,
+    NotRunError,
+    QueueFullError,
+    UnknownServiceError,
+)
+from kitekeel_steering.grant_messages import DemandKey, ExchangeReply, ExchangeRequest, PoolName
+from kitekeel_steering.grant_table import GrantTable, HolderIdentity, SlotHold
+from kitekeel_steering.grant_timing import GrantTiming
+from kitekeel_steering.model import Configuration, PriorityClass, Shift
+from kitekeel_steering.placement import Candidate, candidates
+from kitekeel_steering.shift_counter import ShiftCounter
+
+_RATE_WINDOW_SECONDS = 2.0
+_LEAST_RETRY_AFTER_SECONDS = 1.0
+
+
+class _Waiter:
+    """One request in the queue."""
+
+    def __init__(
+        self,
+        priority_class: PriorityClass,
+        order: int,
+        options: tuple[Candidate, ...],
+        excluded: frozenset[str],
+        arrived_at: float,
+    ) -> None:
+        self.priority_class = priority_class
+        self.position = (priority_class.rank, order)
+        self.options = options
+        self.excluded = excluded
+        self.arrived_at = arrived_at
+        self.noted: set[int] = set()
+        self.hold: SlotHold | None = None
+        self.refusal: NotRunError | None = None
+        self.decided = threading.Event()
+
+
+class _ServedRate:
+    """Requests of one class that got a slot, per second, over the last few seconds."""
+
+    def __init__(self) -> None:
+        self._started_at = 0.0
+        self._count = 0
+        self.per_second = 0.0
+
+    def note(self, now: float) -> None:
+        elapsed = now - self._started_at
+        if elapsed > _RATE_WINDOW_SECONDS:
+            self.per_second = self._count / elapsed
+            self._started_at = now
+            self._count = 0
+        self._count += 1
+
+
+class PoolUse(msgspec.Struct, frozen=True):
+    """Slots of one pool in this daemon, for status answers."""
+
+    pool: PoolName
+    held: int
+    in_use: int
+
+
+class ServiceAdmission:
+    """Slots, queue and shifts of one service in one daemon; safe to call from many threads.
+
+    Args:
+        service: the service's name.
+        identity: who the holder of the slots is.
+        clock: times waits and grants.
+        timing: lives and intervals of grants.
+        on_demand: called, under the lock, when a pool should be asked for slots soon; it must
+            not block.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        identity: HolderIdentity,
+        clock: Clock,
+        timing: GrantTiming,
+        on_demand: Callable[[PoolName], None],
+    ) -> None:
+        self.service = service
+        self._identity = identity
+        self._clock = clock
+        self._timing = timing
+        self._on_demand = on_demand
+        self._lock = threading.RLock()
+        self._configuration = Configuration()
+        self._drained: frozenset[str] = frozenset()
+        self._tables: dict[PoolName, GrantTable] = {}
+        self._shifts: dict[str, ShiftCounter] = {}
+        self._waiters: list[_Waiter] = []
+        self._rates: dict[str, _ServedRate] = {}
+        self._order = itertools.count()
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take a configuration; drained back ends get nothing from here on."""
+        with self._lock:
+            self._configuration = configuration
+            self._drained = frozenset(
+                each.name for each in configuration.back_ends if configuration.is_drained(each)
+            )
+            self._update_shifts(configuration.shifts)
+
+    def acquire(
+        self,
+        class_name: str,
+        deadline: float,
+        excluded: frozenset[str] = frozenset(),
+        again: DemandKey | None = None,
+    ) -> SlotHold:
+        """Return a slot for a request, waiting for one until the deadline at most.
+
+        Args:
+            class_name: the request's priority class.
+            deadline: monotonic time.
+            excluded: back ends that must not be chosen, such as those that failed it before.
+            again: the key of the earlier try, where this is a retry.
+
+        Raises:
+            NotRunError: one of its kinds, each saying why and when to come back.
+        """
+        with self._lock:
+            waiter = self._enter(class_name, excluded, again)
+            self._serve()
+            if waiter.hold is None and waiter.refusal is None:
+                self._refuse_if_hopeless(waiter, deadline)
+        if waiter.hold is None and waiter.refusal is None:
+            self._wait(waiter, deadline)
+        with self._lock:
+            self._leave(waiter)
+        if waiter.refusal is not None:
+            raise waiter.refusal
+        if waiter.hold is None:
+            raise self._no_room(waiter.priority_class)
+        return waiter.hold
+
+    def release(self, hold: SlotHold) -> None:
+        """Give a slot back and serve the next in the queue with it."""
+        with self._lock:
+            self._tables[hold.pool].release(hold)
+            self._serve()
+
+    def may_start(self, hold: SlotHold) -> bool:
+        """Tell whether the grant behind a taken slot still holds."""
+        with self._lock:
+            return self._tables[hold.pool].may_start() and hold.back_end not in self._drained
+
+    def note_result(self, hold: SlotHold, succeeded: bool, seconds: float) -> None:
+        """Count how a back end answered."""
+        with self._lock:
+            self._tables[hold.pool].note_result(hold.back_end, succeeded, seconds)
+
+    def hold_shift(self, name: str, held: bool) -> None:
+        """Stop a shift's ramp, or let it go on."""
+        with self._lock:
+            counter = self._shifts.get(name)
+            if counter is not None:
+                counter.hold(held)
+
+    def prepare_exchange(
+        self, pool: PoolName, after_silence: bool, voting: bool, echo: float
+    ) -> ExchangeRequest:
+        """Build the next request to a pool's keeper."""
+        with self._lock:
+            return self._table(pool).prepare_exchange(after_silence, voting, echo)
+
+    def apply_reply(self, pool: PoolName, reply: ExchangeReply) -> None:
+        """Take a keeper's grants and serve the queue with them."""
+        with self._lock:
+            if self._table(pool).apply_reply(reply):
+                self._serve()
+
+    def pools(self) -> list[PoolUse]:
+        """Return the pools that this daemon holds slots of."""
+        with self._lock:
+            return [
+                PoolUse(pool, table.held(), table.in_use()) for pool, table in self._tables.items()
+            ]
+
+    def is_idle(self, pool: PoolName, seconds: float) -> bool:
+        """Tell whether a pool has not been used for some time."""
+        with self._lock:
+            table = self._table(pool)
+            unused = self._clock.monotonic() - table.last_used_at
+            return unused > seconds and table.in_use() == 0
+
+    def has_unmet_demand(self, pool: PoolName) -> bool:
+        """Tell whether requests wait for slots of a pool."""
+        with self._lock:
+            return self._table(pool).has_unmet_demand()
+
+    def waiting(self) -> dict[str, int]:
+        """Return how many requests of each class wait."""
+        with self._lock:
+            counts: dict[str, int] = {}
+            for waiter in self._waiters:
+                name = waiter.priority_class.name
+                counts[name] = counts.get(name, 0) + 1
+            return counts
+
+    def shift_counts(self) -> dict[str, tuple[int, int, float]]:
+        """Return eligible and moved requests and the present share of each shift."""
+        with self._lock:
+            return {
+                name: (each.eligible, each.moved, each.share())
+                for name, each in self._shifts.items()
+            }
+
+    def _update_shifts(self, shifts: Iterable[Shift]) -> None:
+        mine = {each.name: each for each in shifts if each.service == self.service}
+        for name in list(self._shifts):
+            if name not in mine:
+                del self._shifts[name]
+        for name, shift in mine.items():
+            if name in self._shifts:
+                self._shifts[name].update(shift)
+            else:
+                self._shifts[name] = ShiftCounter(shift, self._clock)
+
+    def _enter(self, class_name: str, excluded: frozenset[str], again: DemandKey | None) -> _Waiter:
+        service = self._configuration.find_service(self.service)
+        priority_class = service.find_class(class_name) if service else None
+        if priority_class is None:
+            raise UnknownServiceError(f"no service '{self.service}' with class '{class_name}'")
+        options = candidates(self._configuration, self.service, self._identity.region, class_name)
+        if not options:
+            raise NoRoomError(f"every back end of '{self.service}' is drained", 5.0)
+        self._make_place(priority_class)
+        options = self._with_shift(options, again)
+        waiter = _Waiter(
+            priority_class, next(self._order), options, excluded, self._clock.monotonic()
+        )
+        self._waiters.append(waiter)
+        self._waiters.sort(key=lambda each: each.position)
+        return waiter
+
+    def _make_place(self, priority_class: PriorityClass) -> None:
+        """Find a waiting place, pushing aside a request of a lesser class where that is allowed."""
+        names = {priority_class.name, *priority_class.pushes_aside}
+        waiting = [each for each in self._waiters if each.priority_class.name in names]
+        own = sum(each.priority_class.name == priority_class.name for each in waiting)
+        if own < priority_class.queue_places:
+            return
+        last = waiting[-1] if waiting else None
+        if last is None or last.priority_class.name == priority_class.name:
+            wait = self._estimated_wait(priority_class)
+            raise QueueFullError("the waiting places of the class are taken", max(1.0, wait))
+        self._refuse(last, DisplacedError("a more urgent request took the place", 2.0))
+
+    def _with_shift(
+        self, options: tuple[Candidate, ...], again: DemandKey | None
+    ) -> tuple[Candidate, ...]:
+        """Put a shift's target first where this request is one that it moves."""
+        source = options[0].pool.region
+        for counter in self._shifts.values():
+            shift = counter.shift
+            if shift.source != source:
+                continue
+            moves = counter.note_eligible() if again is None else counter.may_move_again()
+            if not moves:
+                continue
+            key = DemandKey(options[0].key.priority_class, shift.name)
+            target = Candidate(PoolName(self.service, shift.target), key, 0.0)
+            return (target, *options)
+        return options
+
+    def _serve(self) -> None:
+        """Give free slots to waiting requests, the most urgent first."""
+        now = self._clock.monotonic()
+        asked: set[PoolName] = set()
+        for waiter in list(self._waiters):
+            if waiter.hold is None and waiter.refusal is None:
+                self._try_options(waiter, now, asked)
+        self._waiters = [each for each in self._waiters if not each.decided.is_set()]
+        for pool in asked:
+            self._on_demand(pool)
+
+    def _try_options(self, waiter: _Waiter, now: float, asked: set[PoolName]) -> None:
+        waited = now - waiter.arrived_at
+        for index, option in enumerate(waiter.options):
+            if waited < option.after_seconds:
+                continue
+            if option.key.shift and not self._may_move(option.key.shift):
+                continue
+            table = self._table(option.pool)
+            hold = table.try_take(option.key, waiter.excluded, self._drained)
+            if hold is not None:
+                self._decide(waiter, hold, now)
+                return
+            if index not in waiter.noted:
+                waiter.noted.add(index)
+                table.note_waiting(option.key, 1)
+                asked.add(option.pool)
+
+    def _may_move(self, shift: str) -> bool:
+        """Ask the counter again at the decision: several waiting requests may see one turn."""
+        counter = self._shifts.get(shift)
+        return counter is not None and counter.may_move_again()
+
+    def _decide(self, waiter: _Waiter, hold: SlotHold, now: float) -> None:
+        waiter.hold = hold
+        counter = self._shifts.get(hold.key.shift)
+        if counter is not None:
+            counter.note_moved()
+        self._rates.setdefault(waiter.priority_class.name, _ServedRate()).note(now)
+        self._forget_waiting(waiter)
+        waiter.decided.set()
+
+    def _refuse(self, waiter: _Waiter, refusal: NotRunError) -> None:
+        waiter.refusal = refusal
+        self._forget_waiting(waiter)
+        waiter.decided.set()
+        self._waiters.remove(waiter)
+
+    def _refuse_if_hopeless(self, waiter: _Waiter, deadline: float) -> None:
+        """Refuse at once a request that the queue cannot reach before its deadline."""
+        wait = self._estimated_wait(waiter.priority_class)
+        remaining = deadline - self._clock.monotonic()
+        if wait > remaining:
+            retry_after = max(_LEAST_RETRY_AFTER_SECONDS, wait - remaining)
+            self._refuse(waiter, NoRoomError("the queue is longer than the deadline", retry_after))
+
+    def _estimated_wait(self, priority_class: PriorityClass) -> float:
+        rate = self._rates.get(priority_class.name)
+        if rate is None or rate.per_second <= 0:
+            return 0.0
+        ahead = sum(each.priority_class.name == priority_class.name for each in self._waiters)
+        return max(0, ahead - 1) / rate.per_second
+
+    def _wait(self, waiter: _Waiter, deadline: float) -> None:
+        """Wait for a decision, looking again whenever a farther region comes into question."""
+        for option in waiter.options:
+            if option.after_seconds <= 0:
+                continue
+            comes_at = waiter.arrived_at + option.after_seconds
+            if comes_at >= deadline:
+                break
+            if waiter.decided.wait(max(0.0, comes_at - self._clock.monotonic())):
+                return
+            with self._lock:
+                self._serve()
+        waiter.decided.wait(max(0.0, deadline - self._clock.monotonic()))
+
+    def _leave(self, waiter: _Waiter) -> None:
+        """Take the request out of the queue; under the lock, so that no slot can be lost."""
+        self._forget_waiting(waiter)
+        if waiter in self._waiters:
+            self._waiters.remove(waiter)
+
+    def _forget_waiting(self, waiter: _Waiter) -> None:
+        for index in waiter.noted:
+            option = waiter.options[index]
+            self._table(option.pool).note_waiting(option.key, -1)
+        waiter.noted.clear()
+
+    def _no_room(self, priority_class: PriorityClass) -> NoRoomError:
+        retry_after = max(_LEAST_RETRY_AFTER_SECONDS, self._estimated_wait(priority_class))
+        return NoRoomError("no region had room before the deadline", retry_after)
+
+    def _table(self, pool: PoolName) -> GrantTable:
+        table = self._tables.get(pool)
+        if table is None:
+            table = GrantTable(pool, self._identity, self._clock, self._timing)
+            self._tables[pool] = table
+        return table
--- /dev/null
+++ b/packages/kitekeel-steering/src/kitekeel_steering/class_allocation.py
@@ -0,0 +1,51 @@
+"""Divides a pool's room between priority classes."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+
+from kitekeel_steering.model import PriorityClass
+
+
+def allocate_classes(
+    room: int, classes: Sequence[PriorityClass], needed: Mapping[str, int]
+) -> dict[str, int]:
+    """Return how many slots each class gets.
+
+    Every class first gets what it needs up to its sure share, then the rest goes to the classes in
+    the order of their rank, up to the most each may take.
+
+    Args:
+        room: slots of the pool.
+        classes: the service's classes, the most urgent first.
+        needed: slots that each class needs.
+
+    Example:
+        >>> urgent = PriorityClass("urgent", rank=1, sure_share=0.5, most_share=1.0)
+        >>> bulk = PriorityClass("bulk", rank=9, sure_share=0.1, most_share=0.8)
+        >>> allocate_classes(10, [urgent, bulk], {"urgent": 3, "bulk": 20})
+        {'urgent': 3, 'bulk': 7}
+    """
+    allocation = {
+        each.name: min(needed.get(each.name, 0), sure_slots(room, each)) for each in classes
+    }
+    rest = room - sum(allocation.values())
+    for each in classes:
+        ceiling = most_slots(room, each)
+        extra = min(needed.get(each.name, 0), ceiling) - allocation[each.name]
+        taken = max(0, min(extra, rest))
+        allocation[each.name] += taken
+        rest -= taken
+    return allocation
+
+
+def sure_slots(room: int, priority_class: PriorityClass) -> int:
+    """Return the slots that the class gets whenever it needs them."""
+    return min(int(room * priority_class.sure_share), most_slots(room, priority_class))
+
+
+def most_slots(room: int, priority_class: PriorityClass) -> int:
+    """Return the most slots that the class may take; one at least in a pool that has any."""
+    if room <= 0:
+        return 0
+    return max(1, int(room * priority_class.most_share))
--- /dev/null
+++ b/packages/kitekeel-steering/src/kitekeel_steering/metrics.py
@@ -0,0 +1,32 @@
+"""The counters that every part writes; the daemon binds them to statsd."""
+
+from __future__ import annotations
+
+import threading
+from collections import Counter
+from typing import Protocol
+
+
+class Metrics(Protocol):
+    """Where counts go."""
+
+    def increment(self, name: str, count: int = 1) -> None:
+        """Add to a counter."""
+
+
+class MemoryMetrics:
+    """Counts kept in memory, for status answers and tests."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._counts: Counter[str] = Counter()
+
+    def increment(self, name: str, count: int = 1) -> None:
+        """Add to a counter."""
+        with self._lock:
+            self._counts[name] += count
+
+    def snapshot(self) -> dict[str, int]:
+        """Return every counter by name."""
+        with self._lock:
+            return dict(self._counts)
--- /dev/null
+++ b/packages/kitekeel-steering/src/kitekeel_steering/outliers.py
@@ -0,0 +1,114 @@
+"""Finds back ends whose answers are bad, whatever their reports say."""
+
+from __future__ import annotations
+
+import statistics
+
+import msgspec
+
+from kitekeel_steering.clock import Clock
+from kitekeel_steering.grant_messages import ResultCount
+
+_WINDOW_SECONDS = 5.0
+_LEAST_ANSWERS = 8
+_WORST_FAILURE_SHARE = 0.5
+_SLOWNESS_FACTOR = 4.0
+_FIRST_EJECTION_SECONDS = 3.0
+_MOST_EJECTION_SECONDS = 30.0
+
+
+class _Record(msgspec.Struct):
+    """Answers of one back end in the present window, and its ejections."""
+
+    window_started_at: float
+    successes: int = 0
+    failures: int = 0
+    total_seconds: float = 0.0
+    ejections: int = 0
+    ejected_until: float = 0.0
+
+    @property
+    def answers(self) -> int:
+        return self.successes + self.failures
+
+    @property
+    def mean_seconds(self) -> float:
+        return self.total_seconds / max(1, self.successes)
+
+
+class OutlierDetector:
+    """Ejects back ends that fail or are far slower than the pool's median.
+
+    Args:
+        most_share: most of the pool that is ejected at once.
+    """
+
+    def __init__(self, clock: Clock, most_share: float = 0.3) -> None:
+        self._clock = clock
+        self._most_share = most_share
+        self._records: dict[str, _Record] = {}
+
+    def note(self, results: tuple[ResultCount, ...], pool_size: int) -> list[str]:
+        """Count answers; return the names of back ends ejected by them."""
+        now = self._clock.monotonic()
+        for result in results:
+            record = self._records.setdefault(result.back_end, _Record(now))
+            if now - record.window_started_at > _WINDOW_SECONDS:
+                record.window_started_at = now
+                record.successes = record.failures = 0
+                record.total_seconds = 0.0
+            record.successes += result.successes
+            record.failures += result.failures
+            record.total_seconds += result.total_seconds
+        return self._eject(now, pool_size)
+
+    def is_ejected(self, back_end: str) -> bool:
+        """Tell whether the back end gets no work at present."""
+        record = self._records.get(back_end)
+        return record is not None and record.ejected_until > self._clock.monotonic()
+
+    def returned_at(self, back_end: str) -> float | None:
+        """Return when the last ejection ended or will end; ``None`` if there was none."""
+        record = self._records.get(back_end)
+        return record.ejected_until if record is not None and record.ejections else None
+
+    def _eject(self, now: float, pool_size: int) -> list[str]:
+        most = int(pool_size * self._most_share)
+        ejected = sum(record.ejected_until > now for record in self._records.values())
+        median = self._median_seconds()
+        names: list[str] = []
+        for name, record in self._records.items():
+            if ejected >= most:
+                break
+            if record.ejected_until > now or not _is_bad(record, median):
+                continue
+            self._start_ejection(record, now)
+            names.append(name)
+            ejected += 1
+        return names
+
+    def _start_ejection(self, record: _Record, now: float) -> None:
+        record.ejections += 1
+        length = min(_MOST_EJECTION_SECONDS, _FIRST_EJECTION_SECONDS * 2 ** (record.ejections - 1))
+        record.ejected_until = now + length
+        record.window_started_at = now
+        record.successes = record.failures = 0
+        record.total_seconds = 0.0
+
+    def _median_seconds(self) -> float:
+        means = [
+            record.mean_seconds
+            for record in self._records.values()
+            if record.successes >= _LEAST_ANSWERS
+        ]
+        return statistics.median(means) if len(means) > 2 else 0.0
+
+
+def _is_bad(record: _Record, median_seconds: float) -> bool:
+    if record.answers < _LEAST_ANSWERS:
+        return False
+    if record.failures / record.answers > _WORST_FAILURE_SHARE:
+        return True
+    if not median_seconds or record.successes < _LEAST_ANSWERS:
+        return False
+    return record.mean_seconds > _SLOWNESS_FACTOR * median_seconds
