Slot grants: nothing granted without authority, and room shrinks in one exchange

The trace of one showed a holder cut off with a keeper that had no authority: that keeper renewed the holder's claims, so a slot outlived the reservation at the real keeper. Reading on showed two more: a claim above half the room was renewed by a keeper with half the authority, and a new process at a dead keeper's address answered in its name.

Change: a keeper without authority renews nothing; allowances above the room are cut in the next reply, while the reservation stays until the holder's claim shows it let go; an exchange names the instance it is for.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/daemon.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/daemon.py
@@ -134,7 +134,7 @@
             self._on_member,
             self._seeds,
         )
-        self.keeper = Keeper(self._clock, self._timing, self.recorder.add)
+        self.keeper = Keeper(self.instance, self._clock, self._timing, self.recorder.add)
         self.key_table = KeyTable(self._clock)
         self.handover = KeyHandover(self.key_table, self.peer_client, self.instance)
         self.spread.register(self.peer_server)
--- a/packages/kitekeel-peers/src/kitekeel_peers/grant_exchanges.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/grant_exchanges.py
@@ -5,6 +5,8 @@
 import threading
 from typing import Protocol
 
+import msgspec
+
 from kitekeel_peers.keeper import EXCHANGE, Keeper
 from kitekeel_peers.keeper_choice import KeeperChoice
 from kitekeel_peers.rpc import PeerClient
@@ -92,6 +94,7 @@
         request = self._holder.prepare_exchange(
             self._pool, self._choice.after_silence, voting, self._choice.echo
         )
+        request = msgspec.structs.replace(request, keeper=keeper.instance)
         self._choice.note_sent(voting)
         try:
             if keeper.instance == self._own_instance:
@@ -112,7 +115,8 @@
             self._demand.set()
             return
         self._choice.note_answered(reply.keeper_time)
-        self._holder.apply_reply(self._pool, reply)
+        if reply.state is KeeperState.GRANTING:
+            self._holder.apply_reply(self._pool, reply)
 
     def _pause(self, stop: threading.Event) -> None:
         """Wait for the next turn: soon while requests wait, seldom while nothing is asked."""
--- a/packages/kitekeel-peers/src/kitekeel_peers/keeper.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/keeper.py
@@ -9,6 +9,7 @@
 
 from kitekeel_peers.rpc import PeerServer
 from kitekeel_steering.clock import Clock
+from kitekeel_steering.errors import PeerError
 from kitekeel_steering.grant_messages import ExchangeReply, ExchangeRequest, PoolName
 from kitekeel_steering.grant_timing import GrantTiming
 from kitekeel_steering.ledger import Ledger
@@ -39,14 +40,20 @@
     the region's entry machines turn to it, so beginning one by mistake does no harm.
 
     Args:
+        instance: this process start.
         clock: times grants.
         timing: lives and intervals of grants.
         on_event: called with a kind and a text for each change of state.
     """
 
     def __init__(
-        self, clock: Clock, timing: GrantTiming, on_event: Callable[[str, str], None]
+        self,
+        instance: str,
+        clock: Clock,
+        timing: GrantTiming,
+        on_event: Callable[[str, str], None],
     ) -> None:
+        self._instance = instance
         self._clock = clock
         self._timing = timing
         self._on_event = on_event
@@ -77,7 +84,14 @@
                 self._configure_ledgers()
 
     def exchange(self, request: ExchangeRequest) -> ExchangeReply:
-        """Answer a holder."""
+        """Answer a holder.
+
+        Raises:
+            PeerError: the request is for a former process at this address. What that one granted is
+                not known here, so its holders must wait it out like any silent keeper's.
+        """
+        if request.keeper != self._instance:
+            raise PeerError(f"{request.keeper} is gone; this is {self._instance}")
         with self._lock:
             ledger = self._ledger(request.pool)
             self._last_asked[request.pool] = self._clock.monotonic()
--- a/packages/kitekeel-steering/src/kitekeel_steering/grant_messages.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/grant_messages.py
@@ -70,6 +70,7 @@
         place: the entry machine's number in its region, 0 for a holder of another region.
         sequence: grows with each request, so that a late one is known as such.
         key_use: slots in use under each key, which the keeper counts against caps.
+        keeper: the instance that is asked; a new process at its address must not answer for it.
         echo: ``keeper_time`` of this keeper's last reply, 0 for none. The request was sent after
             it, so the keeper dates the vote by its own clock and trusts no network delay.
         after_silence: the holder turned to this keeper because the last one fell silent.
@@ -84,6 +85,7 @@
     demands: tuple[Demand, ...]
     key_use: tuple[Quota, ...]
     results: tuple[ResultCount, ...] = ()
+    keeper: str = ""
     echo: float = 0.0
     after_silence: bool = False
 
@@ -106,6 +108,7 @@
     """Whether the asked daemon may grant."""
 
     GRANTING = "granting"
+    NO_AUTHORITY = "no-authority"
     RESIGNED = "resigned"
 
 
--- a/packages/kitekeel-steering/src/kitekeel_steering/ledger.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/ledger.py
@@ -92,8 +92,11 @@
         holder = self._update_holder(request)
         if holder.sequence != request.sequence:
             return self._reply(request, KeeperState.GRANTING, (), ())
+        if authority <= 0.0:
+            # Renewing what another keeper granted would let it outlive that keeper's reservation.
+            return self._reply(request, KeeperState.NO_AUTHORITY, (), ())
         self._grant(holder, request, authority)
-        allowances = tuple(Allowance(name, slots) for name, slots in holder.reserved.items())
+        allowances = self._allowances(holder, authority)
         quotas = tuple(Quota(key, slots) for key, slots in holder.quotas.items())
         return self._reply(request, KeeperState.GRANTING, allowances, quotas)
 
@@ -181,6 +184,19 @@
         for name in _spread(free, wanted):
             holder.reserved[name] = holder.reserved.get(name, 0) + 1
 
+    def _allowances(self, holder: _Holder, authority: float) -> tuple[Allowance, ...]:
+        """Return what the holder may use on: its reservation, less what is above the room.
+
+        The reservation itself stays until the holder's next claim shows that it has let go.
+        """
+        allowances: list[Allowance] = []
+        for name, slots in holder.reserved.items():
+            room = int(self._room_of(name) * authority)
+            excess = max(0, self.reserved(name) - room)
+            if slots > excess:
+                allowances.append(Allowance(name, slots - excess))
+        return tuple(allowances)
+
     def _free_by_back_end(self, authority: float) -> dict[str, int]:
         free: dict[str, int] = {}
         if authority <= 0.0:
