make demo: the catalogue network in small, with load, a shift, a drain and a stop

Cause: nothing showed the main job end to end, nor judged it.

Change: open-loop load processes with seeded arrivals and latency counted from the intended start; proofs that compare callers' outcomes with back ends' counts; the demonstration. A member event is written once for each change of its state, not for each refreshed record.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/daemon.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/daemon.py
@@ -31,7 +31,7 @@
 from kitekeel_peers.keeper_choice import KeeperChoice, best_keeper
 from kitekeel_peers.key_handover import KeyHandover
 from kitekeel_peers.membership import Membership
-from kitekeel_peers.messages import MemberRecord, MemberState
+from kitekeel_peers.messages import MemberRecord, MemberState, describe_state
 from kitekeel_peers.rpc import PeerClient, PeerServer, TlsFiles
 from kitekeel_platform.client import MachineList, PlatformClient
 from kitekeel_platform.configuration_store import ConfigurationStore
@@ -80,6 +80,7 @@
         self.recorder = EventRecorder(EventLog(self.instance, hybrid_clock), self.instance)
         self._pulls: queue.SimpleQueue[str] = queue.SimpleQueue()
         self._machine_list = MachineList()
+        self._member_states: dict[str, str] = {}
         self._make_platform()
         self._make_peers(hybrid_clock)
         self._make_steering()
@@ -255,8 +256,10 @@
         self.exchanges.configure(configuration)
 
     def _on_member(self, record: MemberRecord) -> None:
-        state = "leaving" if record.leaving else record.state.name.lower()
-        self.recorder.add("member-changed", f"{record.instance} is {state}")
+        state = describe_state(record)
+        if self._member_states.get(record.instance) != state:
+            self._member_states[record.instance] = state
+            self.recorder.add("member-changed", f"{record.instance} is {state}")
         if record.state >= MemberState.DEAD:
             self.key_table.abandon(record.instance)
 
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/queries.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/queries.py
@@ -9,6 +9,7 @@
 from kitekeel_operators.statements import Subject
 from kitekeel_peers.keeper import Keeper
 from kitekeel_peers.membership import Membership
+from kitekeel_peers.messages import describe_state
 from kitekeel_steering.metrics import MemoryMetrics
 from kitekeel_steering.model import BackEnd, Configuration
 
@@ -125,7 +126,7 @@
                 each.place,
                 each.caller_address,
                 each.operator_address,
-                "leaving" if each.leaving and each.state <= 1 else each.state.name.lower(),
+                describe_state(each),
             )
             for each in sorted(self._membership.table.all(), key=lambda each: each.instance)
         )
--- a/packages/kitekeel-lab/src/kitekeel_lab/cli.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/cli.py
@@ -13,7 +13,10 @@
 
 from kitekeel_lab.back_end_messages import BackEndSpec
 from kitekeel_lab.back_end_server import serve_back_ends
+from kitekeel_lab.demo import run_demo
+from kitekeel_lab.load_process import run_load_file
 from kitekeel_lab.platform_server import serve_platform
+from kitekeel_lab.ports import skip_ports
 from kitekeel_lab.verify import run_all_tests
 
 _SEED = 1
@@ -38,6 +41,21 @@
     return _serve_until_told(lambda: serve_back_ends(specs, control, seed))
 
 
+def load(order: Path, result: Path) -> int:
+    """Run one load process.
+
+    :param order: file with its order
+    :param result: file for its records
+    """
+    return run_load_file(order, result)
+
+
+def demo() -> int:
+    """Run the demonstration."""
+    skip_ports()
+    return run_demo()
+
+
 def verify() -> int:
     """Run all tests and print how many passed and failed."""
     return run_all_tests()
@@ -55,4 +73,4 @@
 
 def main() -> None:
     """Run the command line."""
-    sys.exit(int(defopt.run([platform, back_ends, verify])))
+    sys.exit(int(defopt.run([platform, back_ends, load, demo, verify])))
--- a/packages/kitekeel-lab/src/kitekeel_lab/cluster.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/cluster.py
@@ -80,6 +80,7 @@
         platform_address_of: dict[str, str] | None = None,
     ) -> None:
         self.deployment = deployment
+        self.operator_key = OPERATOR_KEY
         self.platform_address = free_address()
         self._emulate_delays = emulate_delays
         self._listen = listen or {}
--- a/packages/kitekeel-peers/src/kitekeel_peers/messages.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/messages.py
@@ -51,6 +51,13 @@
         return (self.counter, self.state) > (other.counter, other.state)
 
 
+def describe_state(record: MemberRecord) -> str:
+    """Return a member's state in a word, for people."""
+    if record.leaving and record.state <= MemberState.SUSPECT:
+        return "leaving"
+    return record.state.name.lower()
+
+
 class ProbeRequest(msgspec.Struct, frozen=True, array_like=True):
     """A heartbeat with news.
 
