--- a/features/steps/cluster_steps.py
+++ b/features/steps/cluster_steps.py
@@ -7,7 +7,7 @@
 from behave.runner import Context
 
 from kitekeel_lab.caller import Caller, CallerOutcome, CallerSpec, Result
-from kitekeel_lab.cluster import Cluster, wait_until
+from kitekeel_lab.cluster import Cluster
 from kitekeel_lab.deployment import make_deployment, sample_text
 
 SPECS = {
@@ -26,27 +26,14 @@
 
 
 @given("a catalogue network with {daemons:d} daemons and {back_ends:d} back ends in each region")
+@given("a catalogue network with {daemons:d} daemons and {back_ends:d} back end in each region")
 def start_catalogue(context: Context, daemons: int, back_ends: int) -> None:
     context.deployment = make_deployment(sample_text("catalogue"), daemons, back_ends)
     context.cluster = Cluster(context.deployment)
     context.cluster.start()
     context.callers = make_callers(context)
     context.outcomes = []
-    wait_for_authority(context)
-
-
-def wait_for_authority(context: Context) -> None:
-    """Wait until every pool has a keeper that may grant all of it."""
-    pools = {f"{each.service}/{each.region}" for each in context.deployment.configuration.back_ends}
-
-    def granted() -> bool:
-        found = set()
-        for daemon in context.deployment.daemons:
-            rows = context.cluster.query("show pools", at=daemon.name).rows
-            found |= {row[0] for row in rows if row[1] == "keeper" and row[2] == "1"}
-        return found == pools
-
-    wait_until(granted, what="keepers of all pools")
+    context.cluster.wait_for_grants()
 
 
 def send_all(context: Context, jobs: list[tuple[Caller, CallerSpec, str]]) -> list[CallerOutcome]:
--- a/packages/kitekeel-backends/src/kitekeel_backends/forwarding.py
+++ b/packages/kitekeel-backends/src/kitekeel_backends/forwarding.py
@@ -195,6 +195,8 @@
     remaining = deadline - time.monotonic()
     if remaining <= 0:
         raise TimeoutError("the deadline passed")
+    # The connection sets its own timeout on the socket again before each step.
+    connection.timeout = remaining
     if connection.sock is not None:
         connection.sock.settimeout(remaining)
 
--- a/packages/kitekeel-callers/src/kitekeel_callers/intake.py
+++ b/packages/kitekeel-callers/src/kitekeel_callers/intake.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import time
 from collections.abc import Callable, Iterable, Iterator
 from http import HTTPStatus
@@ -83,7 +84,11 @@
             return self._own(_kept_answer(error.answer), start_response)
         except KitekeelError as error:
             return self._own(error_answer(error), start_response)
-        return self._streamed(answer, start_response)
+        try:
+            first_piece = next(answer.pieces, b"")
+        except KitekeelError as error:
+            return self._own(error_answer(error), start_response)
+        return self._streamed(answer, first_piece, start_response)
 
     def _run(self, request: CallerRequest) -> StreamedAnswer:
         deadline = time.monotonic() + request.deadline_seconds
@@ -104,7 +109,9 @@
         start_response(answer.status_line, headers)
         return [answer.body]
 
-    def _streamed(self, answer: StreamedAnswer, start_response: StartResponse) -> Iterable[bytes]:
+    def _streamed(
+        self, answer: StreamedAnswer, first_piece: bytes, start_response: StartResponse
+    ) -> Iterable[bytes]:
         headers = list(answer.headers)
         if all(name != OUTCOME_HEADER for name, _ in headers):
             headers.append((OUTCOME_HEADER, ANSWERED))
@@ -113,7 +120,7 @@
         self._metrics.increment("requests.answered")
         self._add_close(headers)
         start_response(f"{answer.status} {answer.reason}", headers)
-        return _AnswerBody(answer.pieces)
+        return _AnswerBody(first_piece, answer.pieces)
 
     def _add_close(self, headers: list[tuple[str, str]]) -> None:
         if self._is_leaving():
@@ -121,13 +128,24 @@
 
 
 class _AnswerBody(Iterator[bytes]):
-    """A streamed body; the server closes it also when the caller goes away."""
+    """A streamed body; the server closes it also when the caller goes away.
 
-    def __init__(self, pieces: Iterator[bytes]) -> None:
+    A body that is cut short resets the caller's connection: an answer that began must not seem to
+    have ended well.
+    """
+
+    def __init__(self, first_piece: bytes, pieces: Iterator[bytes]) -> None:
+        self._first_piece = first_piece
         self._pieces = pieces
 
     def __next__(self) -> bytes:
-        return next(self._pieces)
+        if self._first_piece:
+            first_piece, self._first_piece = self._first_piece, b""
+            return first_piece
+        try:
+            return next(self._pieces)
+        except KitekeelError as error:
+            raise ConnectionResetError(errno.ECONNRESET, error.message) from error
 
     def close(self) -> None:
         """End the body early, giving back what it holds."""
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/queries.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/queries.py
@@ -180,15 +180,34 @@
 
     def _pools(self) -> QueryReply:
         rows: list[tuple[object, ...]] = [
-            (each.pool, "keeper", f"{each.authority:g}", each.room, each.reserved, each.in_use)
+            (
+                each.pool,
+                "keeper",
+                f"{each.authority:g}",
+                each.room,
+                each.held_back,
+                each.reserved,
+                each.in_use,
+            )
             for each in self._keeper.pools()
         ]
         rows.extend(
-            (use.pool, "holder", "", "", use.held, use.in_use)
+            (use.pool, "holder", "", "", "", use.held, use.in_use)
             for admission in self._admissions.all()
             for use in admission.pools()
         )
-        return _table(("pool", "role here", "authority", "room", "held", "in use"), rows)
+        return _table(
+            (
+                "pool",
+                "role here",
+                "authority",
+                "room",
+                "held back",
+                "held",
+                "in use",
+            ),
+            rows,
+        )
 
     def _commands(self) -> QueryReply:
         configuration = self._configuration()
--- a/packages/kitekeel-lab/src/kitekeel_lab/back_end_server.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/back_end_server.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import errno
 import random
 import threading
 import time
@@ -154,7 +155,7 @@
 
     def __call__(self, start_response: StartResponse) -> Iterable[bytes]:
         if self._fault == "break":
-            raise ConnectionAbortedError("told to break")
+            raise ConnectionResetError(errno.ECONNRESET, "told to break")
         headers = [("Content-Length", str(len(self._body))), ("Content-Type", "text/plain")]
         start_response(f"{self._status.value} {self._status.phrase}", headers)
         return self._pieces()
@@ -163,7 +164,7 @@
         body = self._body
         if self._fault == "cut":
             yield body[: len(body) // 2]
-            raise ConnectionAbortedError("told to cut")
+            raise ConnectionResetError(errno.ECONNRESET, "told to cut")
         for start in range(0, len(body), _PIECE_BYTES):
             yield body[start : start + _PIECE_BYTES]
 
--- a/packages/kitekeel-lab/src/kitekeel_lab/cluster.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/cluster.py
@@ -9,6 +9,7 @@
 import tempfile
 import time
 from collections.abc import Callable, Iterable
+from functools import partial
 from pathlib import Path
 from types import TracebackType
 from typing import TypeVar
@@ -68,8 +69,8 @@
     Args:
         deployment: what to start.
         emulate_delays: have back ends add the network's delays.
-        proxies: returns where a daemon listens, and which platform address it is given, if proxies
-            stand before them.
+        listen: where daemons listen, by name, if proxies stand before them.
+        platform_address_of: the platform's address given to daemons, if a proxy stands before it.
     """
 
     def __init__(
@@ -132,7 +133,7 @@
             name = f"back-ends-{region}"
             self._spawn(name, ["-m", "kitekeel_lab", "back-ends", str(file), control])
         for control in self._controls.values():
-            wait_until(lambda at=control: self._answers(f"{at}/records"), what="back ends")  # type: ignore[misc]
+            wait_until(partial(self._answers, f"{control}/records"), what="back ends")
 
     def start_daemon(self, name: str) -> None:
         """Start a daemon process; a new instance each time."""
@@ -146,7 +147,7 @@
     def wait_ready(self, names: Iterable[str]) -> None:
         """Wait until daemons answer operators."""
         for name in names:
-            wait_until(lambda n=name: self.is_ready(n), what=f"daemon {name}")  # type: ignore[misc]
+            wait_until(partial(self.is_ready, name), what=f"daemon {name}")
 
     def is_ready(self, name: str) -> bool:
         """Tell whether a daemon answers operators."""
@@ -158,6 +159,25 @@
             return False
         return True
 
+    def wait_for_grants(self, at_least: float = 1.0) -> None:
+        """Wait until every pool has a keeper that may grant so much of it and holds none back."""
+        back_ends = self.deployment.configuration.back_ends
+        pools = {f"{each.service}/{each.region}" for each in back_ends}
+        wait_until(lambda: self._granting_pools(at_least) >= pools, what="keepers of all pools")
+
+    def _granting_pools(self, at_least: float) -> set[str]:
+        found: set[str] = set()
+        for daemon in self.deployment.daemons:
+            if daemon.name in self._frozen or not self._is_running(daemon.name):
+                continue
+            rows = self.query("show pools", at=daemon.name).rows
+            for pool, role, authority, room, held_back, *_ in rows:
+                if role != "keeper" or room == "0" or held_back != "0":
+                    continue
+                if float(authority) >= at_least:
+                    found.add(pool)
+        return found
+
     def daemon(self, name: str) -> DaemonSpec:
         """Return a daemon's specification."""
         return next(each for each in self.deployment.daemons if each.name == name)
--- a/packages/kitekeel-lab/src/kitekeel_lab/demo.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/demo.py
@@ -4,7 +4,7 @@
 
 import time
 
-from kitekeel_lab.cluster import Cluster, wait_until
+from kitekeel_lab.cluster import Cluster
 from kitekeel_lab.deployment import Deployment, make_deployment, sample_text
 from kitekeel_lab.load_messages import LoadRecord, LoadStream
 from kitekeel_lab.load_results import summarise
@@ -37,18 +37,10 @@
     )
     with Cluster(deployment, emulate_delays=True) as cluster:
         cluster.start()
-        wait_until(lambda: _keepers(cluster) == 9, what="keepers of all pools")
+        cluster.wait_for_grants()
         return _Demo(cluster, deployment).run()
 
 
-def _keepers(cluster: Cluster) -> int:
-    pools: set[str] = set()
-    for daemon in cluster.deployment.daemons:
-        rows = cluster.query("show pools", at=daemon.name).rows
-        pools |= {row[0] for row in rows if row[1] == "keeper" and row[2] == "1"}
-    return len(pools)
-
-
 class _Demo:
     """One demonstration on a running cluster."""
 
--- a/packages/kitekeel-peers/src/kitekeel_peers/keeper.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/keeper.py
@@ -24,11 +24,16 @@
 
 
 class PoolStatus(msgspec.Struct, frozen=True):
-    """A pool as its keeper sees it."""
+    """A pool as its keeper sees it, in slots.
+
+    Attributes:
+        held_back: slots that holders unknown to a new keeper may still be using.
+    """
 
     pool: PoolName
     authority: float
     room: int
+    held_back: int
     in_use: int
     reserved: int
 
@@ -191,6 +196,7 @@
         pool=pool,
         authority=ledger.authority(),
         room=ledger.total_room(),
+        held_back=ledger.held_back(),
         in_use=sum(ledger.in_use(name) for name in names),
         reserved=sum(ledger.reserved(name) for name in names),
     )
--- a/packages/kitekeel-steering/src/kitekeel_steering/ledger.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/ledger.py
@@ -116,6 +116,11 @@
         """Return the room of the whole pool."""
         return sum(self._room_of(each.name) for each in self.room.back_ends())
 
+    def held_back(self) -> int:
+        """Return the slots of the pool that holders unknown to a new keeper may be using."""
+        names = [each.name for each in self.room.back_ends()]
+        return sum(self._held_back(name, self.reserved(name)) for name in names)
+
     def _reply(
         self,
         request: ExchangeRequest,
