A starting daemon is named to callers only once its port listens

Cause: the one lost request of the rolling restart. A daemon joined the others as an ordinary member some 50 ms before its callers' port listened, so a look-up could already name it.

Ruled out: the leaving side (its port stays open 1.5 s longer than every cached look-up), idle connections (the client drops closed ones before use).

Change: a member record has a phase: starting, serving, leaving. Only serving members are named to callers or taken for keepers. Lab processes are ended by the kernel with their parent.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/daemon.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/daemon.py
@@ -31,7 +31,7 @@
 from kitekeel_peers.keeper_choice import KeeperChoice, best_keeper
 from kitekeel_peers.key_handover import KeyHandover
 from kitekeel_peers.membership import Membership
-from kitekeel_peers.messages import MemberRecord, MemberState, describe_state
+from kitekeel_peers.messages import MemberPhase, MemberRecord, MemberState, describe_state
 from kitekeel_peers.rpc import PeerClient, PeerServer, TlsFiles
 from kitekeel_platform.client import MachineList, PlatformClient
 from kitekeel_platform.configuration_store import ConfigurationStore
@@ -97,6 +97,8 @@
             self._start_loop(loop)
         self.operator_server.start()
         self.caller_server.start()
+        # Only now may look-ups name this daemon: its callers' port listens.
+        self.membership.announce_phase(MemberPhase.SERVING)
         self.recorder.add("daemon-started", f"{self.settings.daemon.region} {self.instance}")
 
     def stop_loops(self) -> None:
@@ -294,13 +296,13 @@
         return bool(self.keeper.pools()) or self._is_zone_watcher()
 
     def _is_leaving(self) -> bool:
-        return self.membership.table.own().leaving
+        return self.membership.table.own().phase is MemberPhase.LEAVING
 
     def _entry_machines(self) -> list[EntryMachine]:
         return [
             EntryMachine(each.instance, each.caller_address, each.region, each.zone)
             for each in self.membership.table.live()
-            if each.state is MemberState.ALIVE and not each.leaving
+            if each.is_serving
         ]
 
     def _make_exchanges(self, pool: PoolName) -> GrantExchanges:
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/planned_stop.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/planned_stop.py
@@ -5,7 +5,7 @@
 import time
 
 from kitekeel_daemon.daemon import Daemon
-from kitekeel_peers.messages import MemberRecord
+from kitekeel_peers.messages import MemberPhase, MemberRecord
 from kitekeel_steering.rendezvous import rank_nodes
 
 _NEWS_SECONDS = 2.0
@@ -31,7 +31,7 @@
     def _leave(self) -> None:
         """Leave the look-ups' answers, and serve on until every cached one has expired."""
         self._daemon.recorder.add("daemon-leaving", "no longer named in look-ups")
-        self._daemon.membership.announce_leaving()
+        self._daemon.membership.announce_phase(MemberPhase.LEAVING)
         time.sleep(self._daemon.settings.callers.max_age_seconds + _NEWS_SECONDS)
         self._daemon.keeper.resign_all()
 
@@ -74,7 +74,7 @@
         records = {
             each.instance: each
             for each in self._daemon.membership.table.live()
-            if each.instance != own.instance and not each.leaving
+            if each.instance != own.instance and each.is_serving
         }
         ranked = rank_nodes(own.instance, records)
         return sorted(
--- /dev/null
+++ b/packages/kitekeel-lab/src/kitekeel_lab/child_process.py
@@ -0,0 +1,27 @@
+"""Starts child processes that the kernel ends when their parent dies, so that none is left over."""
+
+from __future__ import annotations
+
+import ctypes
+import signal
+import subprocess
+import sys
+from typing import IO
+
+_SET_PARENT_DEATH_SIGNAL = 1
+_LIBC = ctypes.CDLL(None)
+
+
+def start_python(arguments: list[str], log: IO[bytes] | int) -> subprocess.Popen[bytes]:
+    """Start the interpreter with some arguments, its output going to a log."""
+    return subprocess.Popen(
+        [sys.executable, *arguments],
+        stdin=subprocess.DEVNULL,
+        stdout=log,
+        stderr=subprocess.STDOUT,
+        preexec_fn=_end_with_parent,
+    )
+
+
+def _end_with_parent() -> None:
+    _LIBC.prctl(_SET_PARENT_DEATH_SIGNAL, signal.SIGKILL)
--- a/packages/kitekeel-lab/src/kitekeel_lab/cluster.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/cluster.py
@@ -5,7 +5,6 @@
 import os
 import signal
 import subprocess
-import sys
 import tempfile
 import time
 from collections.abc import Callable, Iterable
@@ -18,6 +17,7 @@
 import urllib3
 
 from kitekeel_lab.back_end_messages import BackEndFaults, BackEndRecord, FaultOrder
+from kitekeel_lab.child_process import start_python
 from kitekeel_lab.deployment import (
     OPERATOR_KEY,
     DaemonSpec,
@@ -298,12 +298,7 @@
 
     def _spawn(self, name: str, arguments: list[str]) -> None:
         with (self._folder / f"{name}.log").open("ab") as log:
-            self.processes[name] = subprocess.Popen(
-                [sys.executable, *arguments],
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=subprocess.STDOUT,
-            )
+            self.processes[name] = start_python(arguments, log)
 
     def _is_running(self, name: str) -> bool:
         process = self.processes.get(name)
--- a/packages/kitekeel-lab/src/kitekeel_lab/load_run.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/load_run.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import subprocess
-import sys
 import tempfile
 import time
 from collections.abc import Sequence
@@ -11,6 +10,7 @@
 
 import msgspec
 
+from kitekeel_lab.child_process import start_python
 from kitekeel_lab.cluster import Cluster
 from kitekeel_lab.load_messages import LoadOrder, LoadRecord, LoadStream
 
@@ -74,6 +74,6 @@
         order_file = self._folder / f"{name}.order"
         order_file.write_bytes(msgspec.msgpack.encode(order))
         arguments = ["load", str(order_file), str(self._folder / f"{name}.result")]
-        self._processes[name] = subprocess.Popen(
-            [sys.executable, "-m", "kitekeel_lab", *arguments], stdin=subprocess.DEVNULL
-        )
+        log = (self._folder / f"{name}.log").open("wb")
+        with log:
+            self._processes[name] = start_python(["-m", "kitekeel_lab", *arguments], log)
--- a/packages/kitekeel-peers/src/kitekeel_peers/keeper_choice.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/keeper_choice.py
@@ -30,7 +30,7 @@
     """The choice of one holder for one pool; used by one thread.
 
     Args:
-        members: returns the members of the pool's region that are alive and not leaving.
+        members: returns the members of the pool's region that are serving.
     """
 
     def __init__(
--- a/packages/kitekeel-peers/src/kitekeel_peers/membership.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/membership.py
@@ -15,6 +15,7 @@
 from kitekeel_peers.messages import (
     JoinReply,
     JoinRequest,
+    MemberPhase,
     MemberRecord,
     MemberState,
     ProbeReply,
@@ -91,12 +92,8 @@
         server.register(JOIN, JoinRequest, self._handle_join)
 
     def live_in_region(self, region: str) -> list[MemberRecord]:
-        """Return the members of a region that are alive, not suspected and not leaving."""
-        return [
-            each
-            for each in self.table.live()
-            if each.region == region and each.state is MemberState.ALIVE and not each.leaving
-        ]
+        """Return the members of a region that are serving."""
+        return [each for each in self.table.live() if each.region == region and each.is_serving]
 
     def resolve_home(self, instance: str) -> MemberRecord | None:
         """Return the live member that answers for an instance's keys: itself or its successor."""
@@ -109,9 +106,9 @@
             return None
         return record
 
-    def announce_leaving(self) -> None:
-        """Tell all that callers should no longer be sent here."""
-        self.table.update_own(msgspec.structs.replace(self.table.own(), leaving=True))
+    def announce_phase(self, phase: MemberPhase) -> None:
+        """Tell all whether callers and keepers should be sent here."""
+        self.table.update_own(msgspec.structs.replace(self.table.own(), phase=phase))
         self.probe_neighbours()
 
     def announce_successor(self, successor: str) -> None:
@@ -121,7 +118,7 @@
 
     def announce_left(self) -> None:
         """Tell all that this daemon has stopped."""
-        record = msgspec.structs.replace(self.table.own(), state=MemberState.LEFT, leaving=True)
+        record = msgspec.structs.replace(self.table.own(), state=MemberState.LEFT)
         self.table.update_own(record)
         self.probe_neighbours()
 
--- a/packages/kitekeel-peers/src/kitekeel_peers/messages.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/messages.py
@@ -19,6 +19,14 @@
     LEFT = 3
 
 
+class MemberPhase(enum.IntEnum):
+    """How far a daemon is in its life, as it says itself."""
+
+    STARTING = 0
+    SERVING = 1
+    LEAVING = 2
+
+
 class MemberRecord(msgspec.Struct, frozen=True, array_like=True):
     """What the daemons tell each other about one daemon instance.
 
@@ -26,7 +34,7 @@
         instance: unique for each process start.
         place: number of the entry machine in its region, from 1.
         counter: raised by the member itself to refute a suspicion.
-        leaving: it is named to callers no more, but still serves.
+        phase: how far it is in its life; callers are sent only to one that is serving.
         successor: the instance that answers for its keys after it has left.
     """
 
@@ -39,9 +47,14 @@
     operator_address: str
     counter: int = 0
     state: MemberState = MemberState.ALIVE
-    leaving: bool = False
+    phase: MemberPhase = MemberPhase.STARTING
     successor: str = ""
 
+    @property
+    def is_serving(self) -> bool:
+        """Tell whether the member is alive, not suspected, and open to new work."""
+        return self.state is MemberState.ALIVE and self.phase is MemberPhase.SERVING
+
     def outranks(self, other: MemberRecord) -> bool:
         """Tell whether this record is newer than another one of the same instance."""
         if other.state is MemberState.LEFT:
@@ -53,8 +66,8 @@
 
 def describe_state(record: MemberRecord) -> str:
     """Return a member's state in a word, for people."""
-    if record.leaving and record.state <= MemberState.SUSPECT:
-        return "leaving"
+    if record.state is MemberState.ALIVE:
+        return record.phase.name.lower()
     return record.state.name.lower()
 
 
