The lab's experiment tool: plans in INI, phases with events, bars, plots

Cause: choices about steering had no measurement.

Change: plans for capacity, policies, shift, drain, classes, silence and loss, usable with both deployments; two policies of the lab (two choices on reported load, equal static split) that replace the wiring of a daemon.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/main.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/main.py
@@ -33,7 +33,7 @@
         print(f"settings: {error}", file=sys.stderr)
         return _EXIT_FINDINGS
     eliot.to_file(sys.stdout)
-    return _run(checked)
+    return run_checked(checked)
 
 
 def main() -> None:
@@ -41,9 +41,15 @@
     sys.exit(int(defopt.run(run_daemon)))
 
 
-def _run(settings: Settings) -> int:
+def run_checked(settings: Settings, daemon_type: type[Daemon] = Daemon) -> int:
+    """Run a daemon until it is told to stop, and return its exit code.
+
+    Args:
+        settings: checked settings.
+        daemon_type: a subclass that replaces some of the wiring.
+    """
     try:
-        daemon = Daemon(settings)
+        daemon = daemon_type(settings)
         daemon.start()
     except (KitekeelError, OSError) as error:
         print(f"cannot start: {error}", file=sys.stderr)
--- a/packages/kitekeel-lab/src/kitekeel_lab/cli.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/cli.py
@@ -14,8 +14,12 @@
 from kitekeel_lab.back_end_messages import BackEndSpec
 from kitekeel_lab.back_end_server import serve_back_ends
 from kitekeel_lab.demo import run_demo
+from kitekeel_lab.experiment import ExperimentRun, print_report
+from kitekeel_lab.experiment_plan import load_plan
+from kitekeel_lab.experiment_plots import plot_phase
 from kitekeel_lab.load_process import run_load_file
 from kitekeel_lab.platform_server import serve_platform
+from kitekeel_lab.policies import Policy, run_policy_daemon
 from kitekeel_lab.ports import skip_ports
 from kitekeel_lab.verify import run_all_tests
 
@@ -56,6 +60,41 @@
     return run_demo()
 
 
+def policy_daemon(policy: Policy, settings: Path) -> int:
+    """Run a daemon that takes slots by a policy of the lab.
+
+    :param policy: name of the policy
+    :param settings: the daemon's INI file
+    """
+    return run_policy_daemon(policy, settings)
+
+
+def run(
+    name: str,
+    *,
+    deployment: str = "catalogue",
+    seed: int = _SEED,
+    json: bool = False,
+    report: Path | None = None,
+) -> int:
+    """Run an experiment; exit code 1 if a bar is missed.
+
+    :param name: of a plan
+    :param deployment: catalogue or device-lab
+    :param seed: of all random choices
+    :param json: print JSON
+    :param report: folder for plots
+    """
+    skip_ports()
+    experiment = ExperimentRun(load_plan(name, deployment), seed)
+    outcome = experiment.run()
+    if report is not None:
+        for data in experiment.data.values():
+            plot_phase(data, report, f"{name}-{deployment}")
+    print_report(outcome, json)
+    return 0 if all(each.held for each in outcome.bars) else 1
+
+
 def verify() -> int:
     """Run all tests and print how many passed and failed."""
     return run_all_tests()
@@ -73,4 +112,4 @@
 
 def main() -> None:
     """Run the command line."""
-    sys.exit(int(defopt.run([platform, back_ends, load, demo, verify])))
+    sys.exit(int(defopt.run([platform, back_ends, load, policy_daemon, demo, run, verify])))
--- a/packages/kitekeel-lab/src/kitekeel_lab/cluster.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/cluster.py
@@ -26,6 +26,7 @@
     settings_text,
 )
 from kitekeel_lab.platform_server import PlatformFaults
+from kitekeel_lab.policies import Policy
 from kitekeel_lab.ports import free_address
 from kitekeel_operators.client import DaemonUnreachableError, OperatorClient
 from kitekeel_operators.messages import ApplyRequest, CommandReply, QueryReply, StatementRequest
@@ -35,6 +36,7 @@
 _READY_SECONDS = 40.0
 _POLL_SECONDS = 0.05
 _STOP_SECONDS = 10.0
+_LOCAL_POLICY_SECONDS = 2.0
 
 Value = TypeVar("Value")
 
@@ -71,6 +73,7 @@
         emulate_delays: have back ends add the network's delays.
         listen: where daemons listen, by name, if proxies stand before them.
         platform_address_of: the platform's address given to daemons, if a proxy stands before it.
+        policy: how daemons take slots.
     """
 
     def __init__(
@@ -79,7 +82,9 @@
         emulate_delays: bool = False,
         listen: dict[str, DaemonSpec] | None = None,
         platform_address_of: dict[str, str] | None = None,
+        policy: Policy = Policy.GRANTS,
     ) -> None:
+        self._policy = policy
         self.deployment = deployment
         self.operator_key = OPERATOR_KEY
         self.platform_address = free_address()
@@ -142,7 +147,10 @@
         platform = self._platform_address_of.get(name, self.platform_address)
         file = self._folder / f"{name}.ini"
         file.write_text(settings_text(daemon, platform, seeds, self._listen.get(name)))
-        self._spawn(name, ["-m", "kitekeel_daemon", "--settings", str(file)])
+        if self._policy is Policy.GRANTS:
+            self._spawn(name, ["-m", "kitekeel_daemon", "--settings", str(file)])
+        else:
+            self._spawn(name, ["-m", "kitekeel_lab", "policy-daemon", self._policy.name, str(file)])
 
     def wait_ready(self, names: Iterable[str]) -> None:
         """Wait until daemons answer operators."""
@@ -165,10 +173,21 @@
         pools = {f"{each.service}/{each.region}" for each in back_ends}
         wait_until(lambda: self._granting_pools(at_least) >= pools, what="keepers of all pools")
 
+    def wait_for_first_grants(self) -> None:
+        """Wait until requests can be served, whatever the policy."""
+        if self._policy is Policy.GRANTS:
+            self.wait_for_grants()
+        else:
+            time.sleep(_LOCAL_POLICY_SECONDS)
+
+    def is_usable(self, name: str) -> bool:
+        """Tell whether a daemon runs and is not frozen."""
+        return name not in self._frozen and self._is_running(name)
+
     def _granting_pools(self, at_least: float) -> set[str]:
         found: set[str] = set()
         for daemon in self.deployment.daemons:
-            if daemon.name in self._frozen or not self._is_running(daemon.name):
+            if not self.is_usable(daemon.name):
                 continue
             rows = self.query("show pools", at=daemon.name).rows
             for pool, role, authority, room, held_back, *_ in rows:
@@ -188,11 +207,7 @@
 
     def first_running(self) -> str:
         """Return the name of a daemon that runs and is not frozen."""
-        return next(
-            each.name
-            for each in self.deployment.daemons
-            if each.name not in self._frozen and self._is_running(each.name)
-        )
+        return next(each.name for each in self.deployment.daemons if self.is_usable(each.name))
 
     def apply(self, text: str) -> CommandReply:
         """Put a configuration text into force."""
--- a/packages/kitekeel-steering/src/kitekeel_steering/admission.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/admission.py
@@ -9,6 +9,7 @@
 import itertools
 import threading
 from collections.abc import Callable, Iterable
+from typing import ClassVar
 
 import msgspec
 
@@ -81,6 +82,9 @@
 class ServiceAdmission:
     """Slots, queue and shifts of one service in one daemon; safe to call from many threads.
 
+    Attributes:
+        table_type: holds the slots of one pool; a subclass may choose among them otherwise.
+
     Args:
         service: the service's name.
         identity: who the holder of the slots is.
@@ -90,6 +94,8 @@
             not block.
     """
 
+    table_type: ClassVar[type[GrantTable]] = GrantTable
+
     def __init__(
         self,
         service: str,
@@ -380,6 +386,6 @@
     def _table(self, pool: PoolName) -> GrantTable:
         table = self._tables.get(pool)
         if table is None:
-            table = GrantTable(pool, self._identity, self._clock, self._timing)
+            table = self.table_type(pool, self._identity, self._clock, self._timing)
             self._tables[pool] = table
         return table
--- a/packages/kitekeel-steering/src/kitekeel_steering/ini.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/ini.py
@@ -32,6 +32,10 @@
         """Note a finding at an option of this section."""
         self.document.note(self.line(option), code, message, allowed)
 
+    def options(self) -> list[str]:
+        """Return the names of the section's options."""
+        return list(self._values)
+
     def has(self, option: str) -> bool:
         """Tell whether the option stands in the section."""
         return option in self._values
