Waiting requests never take all of a daemon's threads; fault proxies scale

Cause: at twice the room's load the callers' requests of the experiment stayed unanswered. The waiting places of all classes (260) were more than the HTTP threads (160), so further requests waited in the socket where nobody could refuse them.

Change: each class gets its part of the places that the daemon has threads for; proxies close both ends and look only at the daemons' own files. A killed daemon's lost connections are counted apart from broken promises.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/admissions.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/admissions.py
@@ -14,18 +14,29 @@
 
 
 class Admissions:
-    """One admission for each service."""
+    """One admission for each service.
+
+    Args:
+        identity: who holds the slots.
+        clock: times waits.
+        timing: lives of grants.
+        most_waiting: requests that may wait in this daemon over all services, since each takes a
+            thread. Where the classes' waiting places are more in all, each class gets its part.
+        on_demand: called when a pool should be asked for slots.
+    """
 
     def __init__(
         self,
         identity: HolderIdentity,
         clock: Clock,
         timing: GrantTiming,
+        most_waiting: int,
         on_demand: Callable[[PoolName], None],
     ) -> None:
         self._identity = identity
         self._clock = clock
         self._timing = timing
+        self._most_waiting = most_waiting
         self._on_demand = on_demand
         self._lock = threading.Lock()
         self._by_service: dict[str, ServiceAdmission] = {}
@@ -39,7 +50,7 @@
                 self._make(service.name)
             admissions = list(self._by_service.values())
         for admission in admissions:
-            admission.configure(configuration)
+            admission.configure(configuration, self._queue_share())
 
     def find(self, service: str) -> ServiceAdmission:
         """Return the admission of a service."""
@@ -47,7 +58,7 @@
             found = self._by_service.get(service)
             if found is None:
                 found = self._make(service)
-                found.configure(self._configuration)
+                found.configure(self._configuration, self._queue_share())
             return found
 
     def all(self) -> list[ServiceAdmission]:
@@ -55,6 +66,14 @@
         with self._lock:
             return list(self._by_service.values())
 
+    def _queue_share(self) -> float:
+        places = sum(
+            each.queue_places
+            for service in self._configuration.services
+            for each in service.classes
+        )
+        return min(1.0, self._most_waiting / max(1, places))
+
     def _make(self, service: str) -> ServiceAdmission:
         found = self._by_service.get(service)
         if found is None:
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/daemon.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/daemon.py
@@ -56,6 +56,8 @@
 _KEEPER_REVIEW_SECONDS = 0.5
 _BUDGET_BURST_SECONDS = 5.0
 _OPERATOR_THREADS = 6
+# Part of the callers' threads on which requests may wait; the others run requests and look-ups.
+_WAITING_SHARE = 0.6
 _OPERATOR_LIMITS = ServerLimits(threads=_OPERATOR_THREADS, queued_connections=32)
 
 Loop = Callable[[threading.Event], None]
@@ -149,7 +151,10 @@
         region = self.settings.daemon.region
         self._identity = HolderIdentity(self.instance, region, self.settings.daemon.place)
         self.exchanges = PoolExchanges(region, self._make_exchanges, self._is_pool_idle)
-        self.admissions = Admissions(self._identity, self._clock, self._timing, self.exchanges.ask)
+        most_waiting = int(self.settings.callers.threads * _WAITING_SHARE)
+        self.admissions = Admissions(
+            self._identity, self._clock, self._timing, most_waiting, self.exchanges.ask
+        )
 
     def _make_callers(self) -> None:
         settings = self.settings.callers
--- a/packages/kitekeel-lab/src/kitekeel_lab/experiment.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/experiment.py
@@ -67,7 +67,7 @@
         plan = self._plan
         text = sample_text(plan.deployment)
         deployment = make_deployment(text, plan.daemons_per_region, plan.back_ends_per_pool)
-        network = ProxiedNetwork(deployment)
+        network = ProxiedNetwork(deployment, proxies_callers=False)
         streams = self._streams(deployment, phase)
         with Cluster(
             deployment,
--- a/packages/kitekeel-lab/src/kitekeel_lab/experiment_metrics.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/experiment_metrics.py
@@ -75,7 +75,9 @@
         "throughput_share": answered * data.mean_work_seconds / seconds / slots,
         "answered_per_second": answered / seconds,
         "late_p99": 1000 * _quantile([each.late_seconds for each in data.records], 0.99),
-        "breaches": breaches.count(),
+        "broken_promises": breaches.broken_promises(),
+        "lost": len(breaches.lost),
+        "cut": len(breaches.cut),
         "unknown_share": _share(data.records, Result.UNKNOWN),
     }
 
--- a/packages/kitekeel-lab/src/kitekeel_lab/fault_proxy.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/fault_proxy.py
@@ -1,8 +1,8 @@
 """A TCP proxy that injects faults: cuts, delays, half-open connections, resets, one way only.
 
 It runs in the process of the scenario, one thread for each direction of a connection. Rules may
-name who connects: the process that owns the other end of the connection, found through psutil, so
-that a partition can cut some daemons from each other and leave the rest.
+name who connects: the process that owns the other end of the connection, so that a partition can
+cut some daemons from each other and leave the rest.
 """
 
 from __future__ import annotations
@@ -15,7 +15,8 @@
 from collections.abc import Callable
 
 import msgspec
-import psutil
+
+from kitekeel_lab.port_owner import owner_of_port
 
 _PIECE_BYTES = 64 * 1024
 _BACKLOG = 256
@@ -62,7 +63,7 @@
     def __init__(self, listen_address: str, target_address: str) -> None:
         self._target = _split(target_address)
         self._rule_for: RuleFor = lambda _: ProxyRule()
-        self._needs_owner = False
+        self._process_ids: tuple[int, ...] = ()
         self._closed = False
         self._pairs: list[_Pair] = []
         self._lock = threading.Lock()
@@ -71,19 +72,19 @@
 
     def set_rule(self, rule: ProxyRule) -> None:
         """Treat all connections, open ones included, by one rule."""
-        self._needs_owner = False
+        self._process_ids = ()
         self._rule_for = lambda _: rule
         self._reset_open(rule)
 
-    def set_rule_by_owner(self, rule_for: RuleFor) -> None:
-        """Treat connections by the id of the process that opened them."""
+    def set_rule_by_owner(self, rule_for: RuleFor, process_ids: tuple[int, ...]) -> None:
+        """Treat connections by the id of the process that opened them, if it is one of some."""
         self._rule_for = rule_for
-        self._needs_owner = True
+        self._process_ids = process_ids
         with self._lock:
-            pairs = list(self._pairs)
+            pairs = [each for each in self._pairs if not each.ended]
         for pair in pairs:
             if pair.owner is None:
-                pair.owner = _owner_of(pair.peer_port)
+                pair.owner = owner_of_port(pair.peer_port, process_ids)
             pair.apply(rule_for(pair.owner))
 
     def close(self) -> None:
@@ -107,7 +108,7 @@
             threading.Thread(target=self._connect, args=(client, peer[1]), daemon=True).start()
 
     def _connect(self, client: socket.socket, peer_port: int) -> None:
-        owner = _owner_of(peer_port) if self._needs_owner else None
+        owner = owner_of_port(peer_port, self._process_ids) if self._process_ids else None
         rule = self._rule_for(owner)
         if rule.mode is ProxyMode.RESET:
             _reset(client)
@@ -142,6 +143,8 @@
         self.peer_port = peer_port
         self.owner = owner
         self.ended = False
+        self._open_directions = 2
+        self._lock = threading.Lock()
 
     def start(self) -> None:
         """Start one thread for each direction."""
@@ -157,7 +160,7 @@
         """Change the rule of an open connection."""
         self._rule = rule
         if rule.mode is ProxyMode.RESET:
-            self._end(reset=True)
+            self._reset()
 
     def _pump(self, source: socket.socket, sink: socket.socket, is_request: bool) -> None:
         passed = 0
@@ -171,13 +174,25 @@
                 limit = self._rule.reset_after_bytes
                 if is_request and limit and passed + len(piece) >= limit:
                     sink.sendall(piece[: max(0, limit - passed)])
-                    self._end(reset=True)
+                    self._reset()
                     return
                 sink.sendall(piece)
                 passed += len(piece)
             sink.shutdown(socket.SHUT_WR)
         except OSError:
-            self._end(reset=True)
+            self._reset()
+        finally:
+            self._end_direction()
+
+    def _end_direction(self) -> None:
+        """Close both ends once neither direction has anything more to pass."""
+        with self._lock:
+            self._open_directions -= 1
+            if self._open_directions:
+                return
+        self.ended = True
+        self._client.close()
+        self._server.close()
 
     def _wait_while_swallowing(self, is_request: bool) -> None:
         """Hold bytes back; they come late, as after a network that came back, or never."""
@@ -189,11 +204,10 @@
             time.sleep(_POLL_SECONDS)
         raise OSError("the connection has ended")
 
-    def _end(self, reset: bool) -> None:
+    def _reset(self) -> None:
         self.ended = True
         for end in (self._client, self._server):
-            if reset:
-                _reset(end)
+            _reset(end)
 
 
 def _reset(end: socket.socket) -> None:
@@ -205,14 +219,6 @@
     end.close()
 
 
-def _owner_of(port: int) -> int | None:
-    """Return the id of the process that owns a local port."""
-    for connection in psutil.net_connections(kind="tcp"):
-        if connection.laddr and connection.laddr.port == port and connection.pid:
-            return int(connection.pid)
-    return None
-
-
 def _split(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host, int(port)
--- a/packages/kitekeel-lab/src/kitekeel_lab/load_run.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/load_run.py
@@ -35,7 +35,7 @@
         streams: Sequence[LoadStream],
         seconds: float,
         seed: int,
-        threads: int = 400,
+        threads: int = 1000,
     ) -> None:
         self.seconds = seconds
         self.start_at = time.time() + _START_DELAY_SECONDS
--- a/packages/kitekeel-lab/src/kitekeel_lab/partition.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/partition.py
@@ -22,15 +22,13 @@
 
     Args:
         deployment: whose daemons advertise the proxies' addresses.
+        proxies_callers: stand before the callers' addresses too, which daemons use to relay
+            requests; not under heavy load, which one process could not pass on.
     """
 
-    def __init__(self, deployment: Deployment) -> None:
-        self.listen = {
-            each.name: msgspec.structs.replace(
-                each, caller_address=free_address(), peer_address=free_address()
-            )
-            for each in deployment.daemons
-        }
+    def __init__(self, deployment: Deployment, proxies_callers: bool = True) -> None:
+        self._proxies_callers = proxies_callers
+        self.listen = {each.name: self._listen(each) for each in deployment.daemons}
         self.platform_address_of = {each.name: free_address() for each in deployment.daemons}
         self._deployment = deployment
         self._peer_proxies: dict[str, list[FaultProxy]] = {}
@@ -42,10 +40,10 @@
         self._cluster = cluster
         for daemon in self._deployment.daemons:
             listen: DaemonSpec = self.listen[daemon.name]
-            self._peer_proxies[daemon.name] = [
-                FaultProxy(daemon.peer_address, listen.peer_address),
-                FaultProxy(daemon.caller_address, listen.caller_address),
-            ]
+            proxies = [FaultProxy(daemon.peer_address, listen.peer_address)]
+            if self._proxies_callers:
+                proxies.append(FaultProxy(daemon.caller_address, listen.caller_address))
+            self._peer_proxies[daemon.name] = proxies
             address = self.platform_address_of[daemon.name]
             self._platform_proxies[daemon.name] = FaultProxy(address, cluster.platform_address)
 
@@ -78,6 +76,11 @@
         for proxy in self._platform_proxies.values():
             proxy.close()
 
+    def _listen(self, daemon: DaemonSpec) -> DaemonSpec:
+        if self._proxies_callers:
+            daemon = msgspec.structs.replace(daemon, caller_address=free_address())
+        return msgspec.structs.replace(daemon, peer_address=free_address())
+
     def _apply(self) -> None:
         names = {
             process.pid: name
@@ -86,7 +89,7 @@
         }
         for name, proxies in self._peer_proxies.items():
             for proxy in proxies:
-                proxy.set_rule_by_owner(partial(self._rule, names, name))
+                proxy.set_rule_by_owner(partial(self._rule, names, name), tuple(names))
 
     def _rule(self, names: dict[int, str], target: str, owner: int | None) -> ProxyRule:
         source = None if owner is None else names.get(owner)
--- /dev/null
+++ b/packages/kitekeel-lab/src/kitekeel_lab/port_owner.py
@@ -0,0 +1,46 @@
+"""Finds which of some processes owns a local TCP port, from the kernel's tables."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Iterable
+from pathlib import Path
+
+_TCP_TABLE = Path("/proc/net/tcp")
+_LOCAL_ADDRESS_FIELD = 1
+_INODE_FIELD = 9
+
+
+def owner_of_port(port: int, process_ids: Iterable[int]) -> int | None:
+    """Return the id of the process that opened the connection from a local port.
+
+    Only the given processes are looked at: looking at all of them takes too long for each accept.
+    """
+    link = _socket_link(port)
+    if link is None:
+        return None
+    return next((each for each in process_ids if _has_open(each, link)), None)
+
+
+def _socket_link(port: int) -> str | None:
+    ending = f":{port:04X}"
+    for line in _TCP_TABLE.read_text().splitlines()[1:]:
+        fields = line.split()
+        if fields[_LOCAL_ADDRESS_FIELD].endswith(ending) and fields[_INODE_FIELD] != "0":
+            return f"socket:[{fields[_INODE_FIELD]}]"
+    return None
+
+
+def _has_open(process_id: int, link: str) -> bool:
+    folder = f"/proc/{process_id}/fd"
+    try:
+        return any(_read_link(f"{folder}/{name}") == link for name in os.listdir(folder))
+    except OSError:
+        return False
+
+
+def _read_link(path: str) -> str:
+    try:
+        return os.readlink(path)
+    except OSError:
+        return ""
--- a/packages/kitekeel-lab/src/kitekeel_lab/proofs.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/proofs.py
@@ -34,6 +34,15 @@
         """Return how many breaches there are in all."""
         return sum(len(getattr(self, name)) for name in self.__struct_fields__)
 
+    def broken_promises(self) -> int:
+        """Return how many there are that hold even while daemons are killed.
+
+        A caller of a killed daemon loses its connection, which is neither a false nor a foreign
+        answer.
+        """
+        promised = (self.doubled, self.false_not_run, self.wrong, self.not_run_but_answered)
+        return sum(len(each) for each in promised)
+
 
 def find_breaches(
     outcomes: Iterable[LoadRecord | CallerOutcome],
--- a/packages/kitekeel-steering/src/kitekeel_steering/admission.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/admission.py
@@ -111,6 +111,7 @@
         self._on_demand = on_demand
         self._lock = threading.RLock()
         self._configuration = Configuration()
+        self._queue_share = 1.0
         self._drained: frozenset[str] = frozenset()
         self._tables: dict[PoolName, GrantTable] = {}
         self._shifts: dict[str, ShiftCounter] = {}
@@ -118,9 +119,15 @@
         self._rates: dict[str, _ServedRate] = {}
         self._order = itertools.count()
 
-    def configure(self, configuration: Configuration) -> None:
-        """Take a configuration; drained back ends get nothing from here on."""
+    def configure(self, configuration: Configuration, queue_share: float = 1.0) -> None:
+        """Take a configuration; drained back ends get nothing from here on.
+
+        Args:
+            configuration: the one in force.
+            queue_share: part of each class's waiting places that this daemon has threads for.
+        """
         with self._lock:
+            self._queue_share = queue_share
             self._configuration = configuration
             self._drained = frozenset(
                 each.name for each in configuration.back_ends if configuration.is_drained(each)
@@ -265,7 +272,7 @@
         names = {priority_class.name, *priority_class.pushes_aside}
         waiting = [each for each in self._waiters if each.priority_class.name in names]
         own = sum(each.priority_class.name == priority_class.name for each in waiting)
-        if own < priority_class.queue_places:
+        if own < self._queue_places(priority_class):
             return
         last = waiting[-1] if waiting else None
         if last is None or last.priority_class.name == priority_class.name:
@@ -273,6 +280,11 @@
             raise QueueFullError("the waiting places of the class are taken", max(1.0, wait))
         self._refuse(last, DisplacedError("a more urgent request took the place", 2.0))
 
+    def _queue_places(self, priority_class: PriorityClass) -> int:
+        if not priority_class.queue_places:
+            return 0
+        return max(1, int(priority_class.queue_places * self._queue_share))
+
     def _with_shift(
         self, options: tuple[Candidate, ...], again: DemandKey | None
     ) -> tuple[Candidate, ...]:
