Scale run with hollow daemons; a new process at a dead daemon's address is told apart

Cause: the first scale run never saw a replaced daemon as dead. The new process listens where the old one did and answered its probes, so the old instance stayed a live member for ever, and its keys pointed at a process without them.

Ruled out: lost news (the digest of all members agreed, wrongly).

Change: a probe's answer must come from the probed instance; any other instance there means that the probed one is dead.

--- a/packages/kitekeel-lab/src/kitekeel_lab/cli.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/cli.py
@@ -17,10 +17,12 @@
 from kitekeel_lab.experiment import ExperimentRun, print_report
 from kitekeel_lab.experiment_plan import load_plan
 from kitekeel_lab.experiment_plots import plot_phase
+from kitekeel_lab.hollow_server import HollowOrder, serve_hollow
 from kitekeel_lab.load_process import run_load_file
 from kitekeel_lab.platform_server import serve_platform
 from kitekeel_lab.policies import Policy, run_policy_daemon
 from kitekeel_lab.ports import skip_ports
+from kitekeel_lab.scale import run_scale
 from kitekeel_lab.verify import run_all_tests
 
 _SEED = 1
@@ -69,6 +71,32 @@
     return run_policy_daemon(policy, settings)
 
 
+def hollow(order: Path, control: str) -> int:
+    """Run hollow daemons until told to end.
+
+    :param order: file that names them
+    :param control: IP:port of their control
+    """
+    found = msgspec.json.decode(order.read_bytes(), type=HollowOrder)
+    return _serve_until_told(lambda: serve_hollow(found, control))
+
+
+def scale(*, daemons: int = 100, json: bool = False) -> int:
+    """Run real daemons beside hollow ones and print what each costs.
+
+    :param daemons: how many in all
+    :param json: print JSON
+    """
+    skip_ports()
+    report = run_scale(daemons)
+    if json:
+        print(msgspec.json.format(msgspec.json.encode(report)).decode())
+    else:
+        for name in report.__struct_fields__:
+            print(f"{name:<28} {getattr(report, name):.6g}")
+    return 0
+
+
 def run(
     name: str,
     *,
@@ -112,4 +140,8 @@
 
 def main() -> None:
     """Run the command line."""
-    sys.exit(int(defopt.run([platform, back_ends, load, policy_daemon, demo, run, verify])))
+    sys.exit(
+        int(
+            defopt.run([platform, back_ends, load, policy_daemon, hollow, scale, demo, run, verify])
+        )
+    )
--- a/packages/kitekeel-peers/src/kitekeel_peers/membership.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/membership.py
@@ -184,6 +184,10 @@
         reply = self._client.call(record.peer_address, PROBE, request, ProbeReply, timeout)
         self._hybrid_clock.observe(reply.stamp)
         self.table.merge(reply.updates)
+        if reply.instance != record.instance:
+            # A new process took the address over, so the probed one is certainly gone.
+            self.table.set_state(record.instance, MemberState.DEAD)
+            return reply
         if record.state is MemberState.SUSPECT and not target:
             self._clear_suspicion(record)
         self._compare(record.peer_address, reply.revision, reply.digest)
@@ -268,10 +272,9 @@
         if record is None:
             return False
         try:
-            self._probe(record)
+            return self._probe(record).instance == instance
         except PeerError:
             return False
-        return True
 
     def _handle_join(self, request: JoinRequest) -> JoinReply:
         self._hybrid_clock.observe(request.stamp)
--- a/packages/kitekeel-peers/src/kitekeel_peers/rpc.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/rpc.py
@@ -55,11 +55,18 @@
         secret: shared by all daemons; calls without it are refused.
         metrics: counts calls and bytes.
         tls: for mutual TLS; ``None`` for plain TCP.
+        workers: threads that answer calls, where several servers share them.
     """
 
     def __init__(
-        self, address: str, secret: str, metrics: Metrics, tls: TlsFiles | None = None
+        self,
+        address: str,
+        secret: str,
+        metrics: Metrics,
+        tls: TlsFiles | None = None,
+        workers: futures.ThreadPoolExecutor | None = None,
     ) -> None:
+        self._workers = workers
         self._address = address
         self._secret = secret.encode()
         self._metrics = metrics
@@ -89,7 +96,7 @@
         Raises:
             PeerError: the address cannot be bound.
         """
-        workers = futures.ThreadPoolExecutor(_WORKERS, thread_name_prefix="peer")
+        workers = self._workers or futures.ThreadPoolExecutor(_WORKERS, thread_name_prefix="peer")
         server = grpc.server(workers, options=_SERVER_OPTIONS)
         handler = grpc.method_handlers_generic_handler(_SERVICE, self._handlers)
         server.add_generic_rpc_handlers((handler,))
