--- a/packages/kitekeel-backends/src/kitekeel_backends/forwarding.py
+++ b/packages/kitekeel-backends/src/kitekeel_backends/forwarding.py
@@ -24,6 +24,7 @@
     DEADLINE_HEADER,
     ORIGIN_HEADER,
     REQUEST_ID_HEADER,
+    SHIFT_HEADER,
     ForwardedRequest,
     StreamedAnswer,
     end_to_end_headers,
@@ -159,6 +160,8 @@
     headers[REQUEST_ID_HEADER] = request.request_id
     headers[DEADLINE_HEADER] = str(int(remaining * 1000))
     headers[ORIGIN_HEADER] = request.origin_region
+    if request.shift:
+        headers[SHIFT_HEADER] = request.shift
     if request.body_length is not None:
         headers["Content-Length"] = str(request.body_length)
     return headers
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/request_runner.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/request_runner.py
@@ -168,7 +168,7 @@
             answer = self._forwarder.send(
                 back_end.address,
                 back_end.connections,
-                self._request.forwarded,
+                msgspec.structs.replace(self._request.forwarded, shift=hold.key.shift),
                 self._request.repeatable,
                 self._deadline,
             )
--- a/packages/kitekeel-lab/src/kitekeel_lab/back_end_messages.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/back_end_messages.py
@@ -62,7 +62,7 @@
         over_slots: requests begun while every slot was taken.
         peak: most requests running at once.
         last_started_at: wall-clock time of the last request begun.
-        starts: wall-clock start time and origin region of each request.
+        starts: wall-clock start time, origin region and shift of each request.
     """
 
     runs: dict[str, int]
@@ -72,4 +72,4 @@
     cancelled: int = 0
     running: int = 0
     last_started_at: float = 0.0
-    starts: list[tuple[float, str]] = []
+    starts: list[tuple[float, str, str]] = []
--- a/packages/kitekeel-lab/src/kitekeel_lab/cli.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/cli.py
@@ -13,6 +13,7 @@
 
 from kitekeel_lab.back_end_messages import BackEndSpec
 from kitekeel_lab.back_end_server import serve_back_ends
+from kitekeel_lab.chaos import run_chaos
 from kitekeel_lab.demo import run_demo
 from kitekeel_lab.experiment import ExperimentRun, print_report
 from kitekeel_lab.experiment_plan import load_plan
@@ -97,6 +98,25 @@
     return 0
 
 
+def chaos(*, seed: int = _SEED, minutes: float = 2.0, json: bool = False) -> int:
+    """Run a seeded random fault schedule over the whole system; exit code 1 on any breach.
+
+    :param seed: of faults and arrivals
+    :param minutes: how long load and faults go on
+    :param json: print JSON
+    """
+    skip_ports()
+    report = run_chaos(seed, minutes)
+    if json:
+        print(msgspec.json.format(msgspec.json.encode(report)).decode())
+    else:
+        print("\n".join(report.schedule))
+        print(f"{report.requests} requests: {report.results}, over slots {report.over_slots}")
+        print(f"breaches: {report.breaches}")
+    print("clean" if report.is_clean() else f"BREACH with seed {seed}", file=sys.stderr)
+    return 0 if report.is_clean() else 1
+
+
 def run(
     name: str,
     *,
@@ -142,6 +162,8 @@
     """Run the command line."""
     sys.exit(
         int(
-            defopt.run([platform, back_ends, load, policy_daemon, hollow, scale, demo, run, verify])
+            defopt.run(
+                [platform, back_ends, load, policy_daemon, hollow, scale, chaos, demo, run, verify]
+            )
         )
     )
--- a/packages/kitekeel-lab/src/kitekeel_lab/cluster.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/cluster.py
@@ -201,9 +201,10 @@
         """Return a daemon's specification."""
         return next(each for each in self.deployment.daemons if each.name == name)
 
-    def operator(self, name: str) -> OperatorClient:
+    def operator(self, name: str, timeout_seconds: float = 20.0) -> OperatorClient:
         """Return a client of a daemon's operators' interface."""
-        return OperatorClient(self.daemon(name).operator_address, OPERATOR_KEY)
+        address = self.daemon(name).operator_address
+        return OperatorClient(address, OPERATOR_KEY, timeout_seconds)
 
     def first_running(self) -> str:
         """Return the name of a daemon that runs and is not frozen."""
--- a/packages/kitekeel-lab/src/kitekeel_lab/experiment.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/experiment.py
@@ -106,9 +106,13 @@
             for shape in _with_urgent_share(WORKLOADS[self._plan.deployment], phase.urgent_share)
             if not phase.classes or f"{shape.service}/{shape.name}" in phase.classes
         )
-        return make_streams(
+        streams = make_streams(
             deployment.configuration, shapes, phase.load, self._plan.mean_work_seconds
         )
+        return [
+            msgspec.structs.replace(each, comes_back=each.name in phase.come_back)
+            for each in streams
+        ]
 
 
 def print_report(report: ExperimentReport, as_json: bool) -> None:
--- a/packages/kitekeel-lab/src/kitekeel_lab/experiment_plan.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/experiment_plan.py
@@ -33,6 +33,7 @@
         load: offered work against all slots; 1.0 asks for as many as there are.
         urgent_share: share of each service's load that its most urgent class offers.
         classes: kinds of requests that are sent; empty for all.
+        come_back: kinds whose callers send a refused request again when told to.
     """
 
     name: str
@@ -41,6 +42,7 @@
     policy: Policy
     urgent_share: float
     classes: tuple[str, ...]
+    come_back: tuple[str, ...]
     events: tuple[PlannedEvent, ...]
 
 
@@ -125,6 +127,7 @@
         "urgent": names[0],
         "bulk": names[3] if deployment == "catalogue" else names[5],
         "urgent classes": ", ".join(names[::2]),
+        "lesser classes": ", ".join(names[1::2]),
         "zone1": configuration.regions[0].zones[0],
     }
     words.update({f"region{number}": name for number, name in enumerate(regions, start=1)})
@@ -141,6 +144,7 @@
         policy=Policy(section.text("policy", "grants")),
         urgent_share=section.fraction("urgent_share", 0.35),
         classes=section.names("classes", ""),
+        come_back=section.names("come_back", ""),
         events=_events(section),
     )
 
--- a/packages/kitekeel-lab/src/kitekeel_lab/load_messages.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/load_messages.py
@@ -15,6 +15,7 @@
         per_second: mean rate.
         exponential_work: draw the service time from an exponential distribution with the mean that
             the request gives, cut at four times the mean.
+        comes_back: a refused request is sent again when the answer said to.
     """
 
     name: str
@@ -22,6 +23,7 @@
     per_second: float
     request: CallerSpec
     exponential_work: bool = False
+    comes_back: bool = False
 
 
 class LoadOrder(msgspec.Struct, frozen=True):
@@ -31,6 +33,7 @@
         start_at: wall-clock time of the first arrival at the earliest.
         known: callers' addresses of some daemons.
         threads: most requests in flight.
+        repeats: how often a request is sent again while its outcome is unknown.
     """
 
     streams: tuple[LoadStream, ...]
@@ -39,6 +42,7 @@
     seed: int
     known: tuple[str, ...]
     threads: int
+    repeats: int = 0
 
 
 class LoadRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/kitekeel-steering/src/kitekeel_steering/http_messages.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/http_messages.py
@@ -10,6 +10,7 @@
 REQUEST_ID_HEADER = "Kitekeel-Request-Id"
 DEADLINE_HEADER = "Kitekeel-Deadline-Ms"
 ORIGIN_HEADER = "Kitekeel-Origin-Region"
+SHIFT_HEADER = "Kitekeel-Shift"
 _HOP_BY_HOP_HEADERS = frozenset(
     {
         "connection",
@@ -42,6 +43,7 @@
         target: path with query.
         body: the caller's body, ``None`` for none. It can be read once, so it is only sent again
             while nothing of it has been read.
+        shift: name of the shift that moves the request, empty for none.
         body_length: its length in bytes, ``None`` where the caller sends it in chunks.
     """
 
@@ -52,6 +54,7 @@
     body: RequestBody | None
     body_length: int | None
     origin_region: str
+    shift: str = ""
 
 
 class StreamedAnswer(msgspec.Struct, frozen=True):
