--- a/packages/kitekeel-lab/src/kitekeel_lab/chaos.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/chaos.py
@@ -16,7 +16,7 @@
 
 from kitekeel_lab.back_end_messages import BackEndFaults
 from kitekeel_lab.caller import Result
-from kitekeel_lab.cluster import Cluster, wait_until
+from kitekeel_lab.cluster import Cluster
 from kitekeel_lab.deployment import make_deployment, sample_text
 from kitekeel_lab.load_messages import LoadRecord
 from kitekeel_lab.load_run import LoadRun
@@ -34,6 +34,7 @@
 _REPEATS = 2
 _QUIET_SECONDS = 12.0
 _SETTLE_SECONDS = 20.0
+_POLL_SECONDS = 0.2
 
 
 class ChaosReport(msgspec.Struct, frozen=True):
@@ -57,13 +58,17 @@
     accepted_changes: int
     lost_changes: tuple[str, ...]
     unknown_share: float
-    one_revision_at_end: bool
+    revisions_at_end: dict[str, str]
 
     def is_clean(self) -> bool:
         """Tell whether every promise was kept."""
         if self.breaches.broken_promises() or self.over_slots:
             return False
-        return not self.reverted and not self.lost_changes and self.one_revision_at_end
+        return (
+            not self.reverted
+            and not self.lost_changes
+            and len(set(self.revisions_at_end.values())) == 1
+        )
 
 
 class ChaosRun:
@@ -105,11 +110,11 @@
             self._fail_until(load, self._seconds - _QUIET_SECONDS)
             self._repair()
             records = load.collect()
-            one_revision = self._settles()
+            revisions = self._settle()
             self._done.set()
             watcher.join()
             repeatable = {each.name for each in streams if each.request.repeatable}
-            report = self._judge(records, repeatable, one_revision)
+            report = self._judge(records, repeatable, revisions)
             self._network.close()
             return report
 
@@ -246,25 +251,24 @@
             self._reverted.add(instance)
         self._revisions[instance] = max(revision, self._revisions.get(instance, 0))
 
-    def _settles(self) -> bool:
-        """Tell whether all daemons come to one revision once all is repaired."""
-
-        def revisions() -> set[str]:
-            return {
-                self._cluster.query("show configuration", at=name).rows[-1][0]
-                for name in self._names
-            }
-
-        def settled() -> bool:
-            try:
-                return len(revisions()) == 1
-            except (DaemonUnreachableError, OperatorRefusedError, IndexError):
-                return False
+    def _settle(self) -> dict[str, str]:
+        """Wait until all daemons are at one revision, and return each one's in the end."""
+        deadline = time.monotonic() + _SETTLE_SECONDS
+        while True:
+            revisions = {name: self._revision_text(name) for name in self._names}
+            if len(set(revisions.values())) == 1 or time.monotonic() >= deadline:
+                return revisions
+            time.sleep(_POLL_SECONDS)
 
-        return bool(wait_until(settled, _SETTLE_SECONDS, "one revision everywhere"))
+    def _revision_text(self, name: str) -> str:
+        try:
+            rows = self._cluster.query("show configuration", at=name).rows
+        except (DaemonUnreachableError, OperatorRefusedError):
+            return "unreachable"
+        return rows[-1][0] if rows else "none"
 
     def _judge(
-        self, records: list[LoadRecord], repeatable: set[str], one_revision: bool
+        self, records: list[LoadRecord], repeatable: set[str], revisions: dict[str, str]
     ) -> ChaosReport:
         back_ends = self._cluster.records()
         ids = frozenset(each.request_id for each in records if each.stream in repeatable)
@@ -287,7 +291,7 @@
                 each.command_id for each in self._accepted if each.command_id not in recorded
             ),
             unknown_share=results.get(Result.UNKNOWN.value, 0) / max(1, len(records)),
-            one_revision_at_end=one_revision,
+            revisions_at_end=revisions,
         )
 
 
--- a/packages/kitekeel-lab/src/kitekeel_lab/cli.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/cli.py
@@ -13,6 +13,7 @@
 
 from kitekeel_lab.back_end_messages import BackEndSpec
 from kitekeel_lab.back_end_server import serve_back_ends
+from kitekeel_lab.bench import measure_lookup, measure_overhead
 from kitekeel_lab.chaos import run_chaos
 from kitekeel_lab.demo import run_demo
 from kitekeel_lab.experiment import ExperimentRun, print_report
@@ -27,6 +28,10 @@
 from kitekeel_lab.verify import run_all_tests
 
 _SEED = 1
+_BENCHES: dict[str, Callable[[], msgspec.Struct]] = {
+    "lookup": measure_lookup,
+    "overhead": measure_overhead,
+}
 
 
 def platform(address: str) -> int:
@@ -113,6 +118,7 @@
         print("\n".join(report.schedule))
         print(f"{report.requests} requests: {report.results}, over slots {report.over_slots}")
         print(f"breaches: {report.breaches}")
+        print(f"revisions: {report.revisions_at_end}, lost changes: {report.lost_changes}")
     print("clean" if report.is_clean() else f"BREACH with seed {seed}", file=sys.stderr)
     return 0 if report.is_clean() else 1
 
@@ -127,13 +133,15 @@
 ) -> int:
     """Run an experiment; exit code 1 if a bar is missed.
 
-    :param name: of a plan
+    :param name: of a plan, or lookup, or overhead
     :param deployment: catalogue or device-lab
     :param seed: of all random choices
     :param json: print JSON
     :param report: folder for plots
     """
     skip_ports()
+    if name in _BENCHES:
+        return _print_bench(_BENCHES[name](), json)
     experiment = ExperimentRun(load_plan(name, deployment), seed)
     outcome = experiment.run()
     if report is not None:
@@ -148,6 +156,15 @@
     return run_all_tests()
 
 
+def _print_bench(report: msgspec.Struct, as_json: bool) -> int:
+    if as_json:
+        print(msgspec.json.format(msgspec.json.encode(report)).decode())
+    else:
+        for name in report.__struct_fields__:
+            print(f"{name:<32} {getattr(report, name):.4g}")
+    return 0 if getattr(report, "held", True) else 1
+
+
 def _serve_until_told(start: Callable[[], object]) -> int:
     told = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/packages/kitekeel-operators/src/kitekeel_operators/cli.py
+++ b/packages/kitekeel-operators/src/kitekeel_operators/cli.py
@@ -7,12 +7,12 @@
 
 from __future__ import annotations
 
-import enum
 import os
 import secrets
 import sys
 from collections.abc import Callable
 from pathlib import Path
+from typing import Literal
 
 import defopt
 import msgspec
@@ -42,12 +42,7 @@
 _KEY_VARIABLE = "KITEKEEL_OPERATOR_KEY"
 
 
-class TimelineFormat(enum.Enum):
-    """How a time line is printed."""
-
-    TEXT = "text"
-    JSON = "json"
-    HTML = "html"
+TimelineFormat = Literal["text", "json", "html"]
 
 
 def check(file: Path, *, json: bool = False) -> int:
@@ -159,7 +154,7 @@
     return EXIT_DONE
 
 
-def timeline(*, daemon: str = "", key: str = "", form: TimelineFormat = TimelineFormat.TEXT) -> int:
+def timeline(*, daemon: str = "", key: str = "", form: TimelineFormat = "text") -> int:
     """Print the events of all daemons in causal order.
 
     :param daemon: operators' address of any daemon, else $KITEKEEL_DAEMON
@@ -167,10 +162,10 @@
     :param form: text, json or html
     """
     found = collect_timeline(_address(daemon), _key(key))
-    if form is TimelineFormat.JSON:
+    if form == "json":
         _print_json(found)
     else:
-        print(format_html(found) if form is TimelineFormat.HTML else format_text(found))
+        print(format_html(found) if form == "html" else format_text(found))
     return EXIT_DONE
 
 
