--- a/packages/kitekeel-lab/src/kitekeel_lab/chaos.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/chaos.py
@@ -9,6 +9,7 @@
 import random
 import sys
 import threading
+import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
