--- a/packages/kitekeel-lab/src/kitekeel_lab/caller.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/caller.py
@@ -112,8 +112,9 @@
         Args:
             spec: what to ask for.
             request_id: its id.
-            repeats: how often it is sent again, under the same key and to the next entry, while
-                its outcome is unknown to the caller.
+            repeats: how often one that has a key is sent again, under the same key and to the next
+                entry, while its outcome is unknown to the caller. One without a key would be a new
+                request, of which an answer says nothing about the former.
         """
         started_at = time.monotonic()
         try:
@@ -123,7 +124,7 @@
             return CallerOutcome(request_id, Result.LOST, 0, "no-entry", None, seconds, "")
         key = "" if spec.repeatable else join_key(entries[0].home_token, request_id)
         outcome = self.send_to(entries[0].address, spec, request_id, key)
-        for turn in range(1, repeats + 1):
+        for turn in range(1, repeats + 1 if key else 1):
             if outcome.result not in (Result.LOST, Result.UNKNOWN, Result.CUT):
                 break
             time.sleep(min(_LONGEST_PAUSE_SECONDS, outcome.retry_after_seconds or 0.0))
--- a/packages/kitekeel-lab/src/kitekeel_lab/child_process.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/child_process.py
@@ -6,14 +6,23 @@
 import signal
 import subprocess
 import sys
+from concurrent.futures import ThreadPoolExecutor
 from typing import IO
 
 _SET_PARENT_DEATH_SIGNAL = 1
 _LIBC = ctypes.CDLL(None)
 
 
+# The kernel ends a child with the *thread* that started it, so all are started by one that stays.
+_STARTER = ThreadPoolExecutor(1, thread_name_prefix="starter")
+
+
 def start_python(arguments: list[str], log: IO[bytes] | int) -> subprocess.Popen[bytes]:
     """Start the interpreter with some arguments, its output going to a log."""
+    return _STARTER.submit(_start, arguments, log).result()
+
+
+def _start(arguments: list[str], log: IO[bytes] | int) -> subprocess.Popen[bytes]:
     return subprocess.Popen(
         [sys.executable, *arguments],
         stdin=subprocess.DEVNULL,
