A shift's ramp stops by itself while its target answers badly

Cause: the ramp went on whatever the target's latency and errors were; only the counter could be held, and nothing held it.

Ruled out: judging by the target's load reports, which lag and may lie.

Change: over windows of 2 s the moved requests' answers are compared with those that stayed: more than 10% failed, or more than twice as slow, holds the ramp. The waiting request and its rates are a module of their own.

With real processes the hold has not been run yet.

--- a/packages/kitekeel-steering/src/kitekeel_steering/admission.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/admission.py
@@ -27,50 +27,12 @@
 from kitekeel_steering.model import Configuration, PriorityClass, Shift
 from kitekeel_steering.placement import Candidate, candidates
 from kitekeel_steering.shift_counter import ShiftCounter
+from kitekeel_steering.shift_health import ShiftHealth
+from kitekeel_steering.waiter import ServedRate, Waiter
 
-_RATE_WINDOW_SECONDS = 2.0
 _LEAST_RETRY_AFTER_SECONDS = 1.0
 
 
-class _Waiter:
-    """One request in the queue."""
-
-    def __init__(
-        self,
-        priority_class: PriorityClass,
-        order: int,
-        options: tuple[Candidate, ...],
-        excluded: frozenset[str],
-        arrived_at: float,
-    ) -> None:
-        self.priority_class = priority_class
-        self.position = (priority_class.rank, order)
-        self.options = options
-        self.excluded = excluded
-        self.arrived_at = arrived_at
-        self.noted: set[int] = set()
-        self.hold: SlotHold | None = None
-        self.refusal: NotRunError | None = None
-        self.decided = threading.Event()
-
-
-class _ServedRate:
-    """Requests of one class that got a slot, per second, over the last few seconds."""
-
-    def __init__(self) -> None:
-        self._started_at = 0.0
-        self._count = 0
-        self.per_second = 0.0
-
-    def note(self, now: float) -> None:
-        elapsed = now - self._started_at
-        if elapsed > _RATE_WINDOW_SECONDS:
-            self.per_second = self._count / elapsed
-            self._started_at = now
-            self._count = 0
-        self._count += 1
-
-
 class PoolUse(msgspec.Struct, frozen=True):
     """Slots of one pool in this daemon, for status answers."""
 
@@ -115,8 +77,9 @@
         self._drained: frozenset[str] = frozenset()
         self._tables: dict[PoolName, GrantTable] = {}
         self._shifts: dict[str, ShiftCounter] = {}
-        self._waiters: list[_Waiter] = []
-        self._rates: dict[str, _ServedRate] = {}
+        self._shift_health: dict[str, ShiftHealth] = {}
+        self._waiters: list[Waiter] = []
+        self._rates: dict[str, ServedRate] = {}
         self._order = itertools.count()
 
     def configure(self, configuration: Configuration, queue_share: float = 1.0) -> None:
@@ -179,16 +142,15 @@
             return self._tables[hold.pool].may_start() and hold.back_end not in self._drained
 
     def note_result(self, hold: SlotHold, succeeded: bool, seconds: float) -> None:
-        """Count how a back end answered."""
+        """Count how a back end answered; hold the ramps of shifts whose target answers badly."""
         with self._lock:
             self._tables[hold.pool].note_result(hold.back_end, succeeded, seconds)
-
-    def hold_shift(self, name: str, held: bool) -> None:
-        """Stop a shift's ramp, or let it go on."""
-        with self._lock:
-            counter = self._shifts.get(name)
-            if counter is not None:
-                counter.hold(held)
+            now = self._clock.monotonic()
+            for name, counter in self._shifts.items():
+                moved = hold.key.shift == name
+                if moved or hold.pool.region == counter.shift.source:
+                    health = self._shift_health[name]
+                    counter.hold(health.note(moved, succeeded, seconds, now))
 
     def prepare_exchange(
         self, pool: PoolName, after_silence: bool, voting: bool, echo: float
@@ -244,13 +206,15 @@
         for name in list(self._shifts):
             if name not in mine:
                 del self._shifts[name]
+                del self._shift_health[name]
         for name, shift in mine.items():
             if name in self._shifts:
                 self._shifts[name].update(shift)
             else:
                 self._shifts[name] = ShiftCounter(shift, self._clock)
+                self._shift_health[name] = ShiftHealth()
 
-    def _enter(self, class_name: str, excluded: frozenset[str], again: DemandKey | None) -> _Waiter:
+    def _enter(self, class_name: str, excluded: frozenset[str], again: DemandKey | None) -> Waiter:
         service = self._configuration.find_service(self.service)
         priority_class = service.find_class(class_name) if service else None
         if priority_class is None:
@@ -260,7 +224,7 @@
             raise NoRoomError(f"every back end of '{self.service}' is drained", 5.0)
         self._make_place(priority_class)
         options = self._with_shift(options, again)
-        waiter = _Waiter(
+        waiter = Waiter(
             priority_class, next(self._order), options, excluded, self._clock.monotonic()
         )
         self._waiters.append(waiter)
@@ -313,7 +277,7 @@
         for pool in asked:
             self._on_demand(pool)
 
-    def _try_options(self, waiter: _Waiter, now: float, asked: set[PoolName]) -> None:
+    def _try_options(self, waiter: Waiter, now: float, asked: set[PoolName]) -> None:
         waited = now - waiter.arrived_at
         for index, option in enumerate(waiter.options):
             if waited < option.after_seconds:
@@ -335,22 +299,22 @@
         counter = self._shifts.get(shift)
         return counter is not None and counter.may_move_again()
 
-    def _decide(self, waiter: _Waiter, hold: SlotHold, now: float) -> None:
+    def _decide(self, waiter: Waiter, hold: SlotHold, now: float) -> None:
         waiter.hold = hold
         counter = self._shifts.get(hold.key.shift)
         if counter is not None:
             counter.note_moved()
-        self._rates.setdefault(waiter.priority_class.name, _ServedRate()).note(now)
+        self._rates.setdefault(waiter.priority_class.name, ServedRate()).note(now)
         self._forget_waiting(waiter)
         waiter.decided.set()
 
-    def _refuse(self, waiter: _Waiter, refusal: NotRunError) -> None:
+    def _refuse(self, waiter: Waiter, refusal: NotRunError) -> None:
         waiter.refusal = refusal
         self._forget_waiting(waiter)
         waiter.decided.set()
         self._waiters.remove(waiter)
 
-    def _refuse_if_hopeless(self, waiter: _Waiter, deadline: float) -> None:
+    def _refuse_if_hopeless(self, waiter: Waiter, deadline: float) -> None:
         """Refuse at once a request that the queue cannot reach before its deadline."""
         wait = self._estimated_wait(waiter.priority_class)
         remaining = deadline - self._clock.monotonic()
@@ -365,7 +329,7 @@
         ahead = sum(each.priority_class.name == priority_class.name for each in self._waiters)
         return max(0, ahead - 1) / rate.per_second
 
-    def _wait(self, waiter: _Waiter, deadline: float) -> None:
+    def _wait(self, waiter: Waiter, deadline: float) -> None:
         """Wait for a decision, looking again whenever a farther region comes into question."""
         for option in waiter.options:
             if option.after_seconds <= 0:
@@ -379,13 +343,13 @@
                 self._serve()
         waiter.decided.wait(max(0.0, deadline - self._clock.monotonic()))
 
-    def _leave(self, waiter: _Waiter) -> None:
+    def _leave(self, waiter: Waiter) -> None:
         """Take the request out of the queue; under the lock, so that no slot can be lost."""
         self._forget_waiting(waiter)
         if waiter in self._waiters:
             self._waiters.remove(waiter)
 
-    def _forget_waiting(self, waiter: _Waiter) -> None:
+    def _forget_waiting(self, waiter: Waiter) -> None:
         for index in waiter.noted:
             option = waiter.options[index]
             self._table(option.pool).note_waiting(option.key, -1)
