--- a/packages/kitekeel-lab/src/kitekeel_lab/cli.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/cli.py
@@ -14,6 +14,7 @@
 from kitekeel_lab.back_end_messages import BackEndSpec
 from kitekeel_lab.back_end_server import serve_back_ends
 from kitekeel_lab.bench import measure_lookup, measure_overhead
+from kitekeel_lab.block_trial import measure_blocks
 from kitekeel_lab.chaos import run_chaos
 from kitekeel_lab.demo import run_demo
 from kitekeel_lab.experiment import ExperimentRun, print_report
@@ -25,12 +26,14 @@
 from kitekeel_lab.policies import Policy, run_policy_daemon
 from kitekeel_lab.ports import skip_ports
 from kitekeel_lab.scale import run_scale
+from kitekeel_lab.scale_fit import fit_reports, plot_reports, read_reports
 from kitekeel_lab.verify import run_all_tests
 
 _SEED = 1
 _BENCHES: dict[str, Callable[[], msgspec.Struct]] = {
     "lookup": measure_lookup,
     "overhead": measure_overhead,
+    "blocks": measure_blocks,
 }
 
 
@@ -103,6 +106,21 @@
     return 0
 
 
+def scale_fit(*files: Path, goal: int = 1000, plot: Path | None = None) -> int:
+    """Fit the figures of several scale runs and work them out at a goal.
+
+    :param files: what ``scale --json`` printed
+    :param goal: number of daemons
+    :param plot: file for a picture
+    """
+    reports = read_reports(files)
+    for fit in fit_reports(reports, goal):
+        print(f"{fit.name:<28} {fit.at_zero:.6g} + {fit.slope:.6g} N = {fit.at_goal:.6g}")
+    if plot is not None:
+        plot_reports(reports, plot)
+    return 0
+
+
 def chaos(*, seed: int = _SEED, minutes: float = 2.0, json: bool = False) -> int:
     """Run a seeded random fault schedule over the whole system; exit code 1 on any breach.
 
@@ -133,7 +151,7 @@
 ) -> int:
     """Run an experiment; exit code 1 if a bar is missed.
 
-    :param name: of a plan, or lookup, or overhead
+    :param name: of a plan, or lookup, overhead or blocks
     :param deployment: catalogue or device-lab
     :param seed: of all random choices
     :param json: print JSON
@@ -180,7 +198,19 @@
     sys.exit(
         int(
             defopt.run(
-                [platform, back_ends, load, policy_daemon, hollow, scale, chaos, demo, run, verify]
+                [
+                    platform,
+                    back_ends,
+                    load,
+                    policy_daemon,
+                    hollow,
+                    scale,
+                    scale_fit,
+                    chaos,
+                    demo,
+                    run,
+                    verify,
+                ]
             )
         )
     )
