--- a/packages/kitekeel-lab/src/kitekeel_lab/block_trial.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/block_trial.py
@@ -1,4 +1,4 @@
-"""A trial, not part of the product: 600,000 client blocks as compact sections, and look-ups in them.
+"""A trial, not part of the product: 600,000 client blocks as compact sections, and look-ups.
 
 A section holds the blocks of one /8 as two arrays, the start of each block and its site. It is
 changed by replacing that section alone, and named by a digest, so that a daemon would fetch only
--- a/packages/kitekeel-steering/src/kitekeel_steering/outliers.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/outliers.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from kitekeel_steering.answer_window import AnswerWindow
 from kitekeel_steering.clock import Clock
 from kitekeel_steering.grant_messages import ResultCount
 
@@ -21,20 +22,10 @@
     """Answers of one back end in the present window, and its ejections."""
 
     window_started_at: float
-    successes: int = 0
-    failures: int = 0
-    total_seconds: float = 0.0
+    window: AnswerWindow
     ejections: int = 0
     ejected_until: float = 0.0
 
-    @property
-    def answers(self) -> int:
-        return self.successes + self.failures
-
-    @property
-    def mean_seconds(self) -> float:
-        return self.total_seconds / max(1, self.successes)
-
 
 class OutlierDetector:
     """Ejects back ends that fail or are far slower than the pool's median.
@@ -52,14 +43,11 @@
         """Count answers; return the names of back ends ejected by them."""
         now = self._clock.monotonic()
         for result in results:
-            record = self._records.setdefault(result.back_end, _Record(now))
+            record = self._records.setdefault(result.back_end, _Record(now, AnswerWindow()))
             if now - record.window_started_at > _WINDOW_SECONDS:
                 record.window_started_at = now
-                record.successes = record.failures = 0
-                record.total_seconds = 0.0
-            record.successes += result.successes
-            record.failures += result.failures
-            record.total_seconds += result.total_seconds
+                record.window = AnswerWindow()
+            record.window.add(result.successes, result.failures, result.total_seconds)
         return self._eject(now, pool_size)
 
     def is_ejected(self, back_end: str) -> bool:
@@ -80,7 +68,7 @@
         for name, record in self._records.items():
             if ejected >= most:
                 break
-            if record.ejected_until > now or not _is_bad(record, median):
+            if record.ejected_until > now or not _is_bad(record.window, median):
                 continue
             self._start_ejection(record, now)
             names.append(name)
@@ -92,23 +80,22 @@
         length = min(_MOST_EJECTION_SECONDS, _FIRST_EJECTION_SECONDS * 2 ** (record.ejections - 1))
         record.ejected_until = now + length
         record.window_started_at = now
-        record.successes = record.failures = 0
-        record.total_seconds = 0.0
+        record.window = AnswerWindow()
 
     def _median_seconds(self) -> float:
         means = [
-            record.mean_seconds
+            record.window.mean_seconds
             for record in self._records.values()
-            if record.successes >= _LEAST_ANSWERS
+            if record.window.successes >= _LEAST_ANSWERS
         ]
         return statistics.median(means) if len(means) > 2 else 0.0
 
 
-def _is_bad(record: _Record, median_seconds: float) -> bool:
-    if record.answers < _LEAST_ANSWERS:
+def _is_bad(window: AnswerWindow, median_seconds: float) -> bool:
+    if window.answers < _LEAST_ANSWERS:
         return False
-    if record.failures / record.answers > _WORST_FAILURE_SHARE:
+    if window.failure_share > _WORST_FAILURE_SHARE:
         return True
-    if not median_seconds or record.successes < _LEAST_ANSWERS:
+    if not median_seconds or window.successes < _LEAST_ANSWERS:
         return False
-    return record.mean_seconds > _SLOWNESS_FACTOR * median_seconds
+    return window.mean_seconds > _SLOWNESS_FACTOR * median_seconds
