--- a/packages/kitekeel-backends/src/kitekeel_backends/load_probes.py
+++ b/packages/kitekeel-backends/src/kitekeel_backends/load_probes.py
@@ -13,8 +13,6 @@
 _TIMEOUT_SECONDS = 1.0
 _OK = 200
 
-OnReport = Callable[[LoadReport], None]
-
 
 class ProbeTarget(msgspec.Struct, frozen=True):
     """A back end to be probed.
--- a/packages/kitekeel-lab/src/kitekeel_lab/cli.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/cli.py
@@ -115,7 +115,7 @@
     """
     reports = read_reports(files)
     for fit in fit_reports(reports, goal):
-        print(f"{fit.name:<28} {fit.at_zero:.6g} + {fit.slope:.6g} N = {fit.at_goal:.6g}")
+        print(f"{fit.name:<28} {fit.at_zero:.6g} + {fit.slope:.6g} {fit.term} = {fit.at_goal:.6g}")
     if plot is not None:
         plot_reports(reports, plot)
     return 0
--- a/packages/kitekeel-lab/src/kitekeel_lab/scale_fit.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/scale_fit.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 from pathlib import Path
 
@@ -15,15 +16,15 @@
 
 from kitekeel_lab.scale import ScaleReport
 
-FITTED = (
+# Memory grows with the records held, one for each member. Traffic and processor time follow the
+# number of neighbours, and spreading its hops: both grow with the logarithm.
+LINEAR = ("hollow_memory_bytes", "real_memory_bytes")
+LOGARITHMIC = (
     "calls_per_second",
     "payload_bytes_per_second",
     "wire_bytes_per_second",
     "processor_share",
-    "hollow_memory_bytes",
-    "real_memory_bytes",
     "real_processor_share",
-    "platform_calls_per_second",
     "change_seconds",
     "death_seconds",
 )
@@ -31,35 +32,47 @@
 
 
 class Fit(msgspec.Struct, frozen=True):
-    """A straight line over the number of daemons, and its value at a goal."""
+    """A least-squares line ``at_zero + slope x``, and its value at a goal.
+
+    Attributes:
+        term: ``N``, the number of daemons, or its logarithm ``log2 N``.
+    """
 
     name: str
+    term: str
     at_zero: float
     slope: float
     at_goal: float
 
 
 def fit_reports(reports: Sequence[ScaleReport], goal: int) -> list[Fit]:
-    """Return a least-squares line for each figure."""
-    counts = [report.daemons for report in reports]
-    fits: list[Fit] = []
-    for name in FITTED:
-        values = [float(getattr(report, name)) for report in reports]
-        slope, at_zero = numpy.polyfit(counts, values, 1)
-        fits.append(Fit(name, float(at_zero), float(slope), float(at_zero + slope * goal)))
-    return fits
+    """Return a line for each figure, over N or log2 N."""
+    return [_fit(reports, name, goal) for name in (*LINEAR, *LOGARITHMIC)]
+
+
+def _fit(reports: Sequence[ScaleReport], name: str, goal: int) -> Fit:
+    term = "N" if name in LINEAR else "log2 N"
+    values = [float(getattr(report, name)) for report in reports]
+    places = [_term(report.daemons, term) for report in reports]
+    slope, at_zero = numpy.polyfit(places, values, 1)
+    at_goal = at_zero + slope * _term(goal, term)
+    return Fit(name, term, float(at_zero), float(slope), float(at_goal))
+
+
+def _term(count: int, term: str) -> float:
+    return float(count) if term == "N" else math.log2(count)
 
 
 def plot_reports(reports: Sequence[ScaleReport], file: Path) -> None:
     """Draw each figure over the number of daemons, with its line."""
     counts = [report.daemons for report in reports]
-    figure, axes = pyplot.subplots(2, 5, figsize=(18, 6))
-    for name, plot in zip(FITTED, axes.flat, strict=True):
-        values = [float(getattr(report, name)) for report in reports]
-        slope, at_zero = numpy.polyfit(counts, values, 1)
+    figure, axes = pyplot.subplots(3, 3, figsize=(13, 9))
+    for fit, plot in zip(fit_reports(reports, counts[-1]), axes.flat, strict=True):
+        values = [float(getattr(report, fit.name)) for report in reports]
+        line = [fit.at_zero + fit.slope * _term(count, fit.term) for count in counts]
         plot.plot(counts, values, "o")
-        plot.plot(counts, [at_zero + slope * count for count in counts], "-")
-        plot.set_title(name, fontsize=9)
+        plot.plot(counts, line, "-")
+        plot.set_title(fit.name, fontsize=9)
         plot.set_xlabel("daemons", fontsize=8)
         plot.set_ylim(bottom=0)
     figure.tight_layout()
--- a/packages/kitekeel-platform/src/kitekeel_platform/key_claims.py
+++ b/packages/kitekeel-platform/src/kitekeel_platform/key_claims.py
@@ -1,15 +1,14 @@
 """Claims of idempotency keys that name no home: create-if-absent at the platform.
 
-The first daemon to create the claim is the key's home. The claim's value is the daemon's instance
-with a number of its own for each attempt, so that a claim whose answer was lost is known on reading
-it back. Claims cost writes, which the platform bears some hundred a second of; callers that use
+The first daemon to create the claim is the key's home. A claim whose answer was lost is read back:
+it names the home, this instance or another. Two attempts at one instance may both find themselves
+its home; the key table there lets one of them run. Claims cost writes, which the platform bears some hundred a second of; callers that use
 home tokens need none.
 """
 
 from __future__ import annotations
 
 import hashlib
-import secrets
 
 import msgspec
 
@@ -27,7 +26,6 @@
     """Who is the home of a key."""
 
     instance: str
-    attempt: str
 
 
 class KeyClaims:
@@ -52,7 +50,7 @@
             ClaimFailedError: the platform does not tell who the home is; nothing may be run.
         """
         name = f"kitekeel/keys/{hashlib.sha256(key.encode()).hexdigest()}"
-        claim = KeyClaim(self._instance, secrets.token_hex(8))
+        claim = KeyClaim(self._instance)
         try:
             written = self._client.write(name, msgspec.json.encode(claim), 0, self._life_seconds)
             if written is not None:
--- a/packages/kitekeel-steering/src/kitekeel_steering/errors.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/errors.py
@@ -45,12 +45,6 @@
     code = "displaced"
 
 
-class StoppingError(NotRunError):
-    """The daemon takes no new requests because it is stopping."""
-
-    code = "stopping"
-
-
 class NoConfigurationError(NotRunError):
     """The daemon has not yet learnt any configuration."""
 
--- a/packages/kitekeel-steering/src/kitekeel_steering/ini.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/ini.py
@@ -36,10 +36,6 @@
         """Return the names of the section's options."""
         return list(self._values)
 
-    def has(self, option: str) -> bool:
-        """Tell whether the option stands in the section."""
-        return option in self._values
-
     def text(self, option: str, default: str | None = None) -> str:
         """Return an option's text; a missing one without a default is a finding."""
         self._read.add(option)
--- a/packages/kitekeel-steering/src/kitekeel_steering/load_reports.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/load_reports.py
@@ -75,11 +75,6 @@
         record.failures += 1
         return record.failures == _FAILURES_UNTIL_DOWN
 
-    def is_down(self, back_end: str) -> bool:
-        """Tell whether the back end is known not to accept connections."""
-        record = self._records.get(back_end)
-        return record is None or record.failures >= _FAILURES_UNTIL_DOWN
-
     def up_since(self, back_end: str) -> float | None:
         """Return the monotonic time since which the back end answers, if it does."""
         record = self._records.get(back_end)
@@ -92,11 +87,6 @@
             return None
         return record.report.running
 
-    def is_silent(self, back_end: str) -> bool:
-        """Tell whether the last report is too old."""
-        record = self._records.get(back_end)
-        return record is not None and self._silence_seconds(record) > 0
-
     def room(self, back_end: str, slots: int, in_flight: int) -> int:
         """Return the slots that may be used, from the report and its age.
 
--- a/packages/kitekeel-steering/src/kitekeel_steering/placement.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/placement.py
@@ -21,12 +21,6 @@
     after_seconds: float
 
 
-def home_region(configuration: Configuration, service: str, region: str) -> str | None:
-    """Return the nearest region with back ends of the service that are not drained."""
-    regions = nearest_regions(configuration, service, region)
-    return regions[0] if regions else None
-
-
 def nearest_regions(configuration: Configuration, service: str, region: str) -> list[str]:
     """Return the regions with back ends of the service that are not drained, nearest first."""
     names = {
