--- a/packages/kitekeel-platform/src/kitekeel_platform/key_claims.py
+++ b/packages/kitekeel-platform/src/kitekeel_platform/key_claims.py
@@ -2,8 +2,8 @@
 
 The first daemon to create the claim is the key's home. A claim whose answer was lost is read back:
 it names the home, this instance or another. Two attempts at one instance may both find themselves
-its home; the key table there lets one of them run. Claims cost writes, which the platform bears some hundred a second of; callers that use
-home tokens need none.
+its home; the key table there lets one of them run. Claims cost writes, of which the platform bears
+some hundred a second; callers that use home tokens need none.
 """
 
 from __future__ import annotations
