One reading of a process's processor time and memory in the lab

The bench and the scale run each parsed the kernel's process table for processor time, with bare field numbers, and the bench worked out the time of a request, less the idle work, twice.

Ruled out as twins, after looking: rows that share only import lines and the shape of small structs.

Change: `process_usage` reads both figures; a meter in the bench serves the look-up and the overhead. The product is not touched.

The features were not run again.

Conclusion: the same figures by one way.

--- a/packages/kitekeel-lab/src/kitekeel_lab/bench.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/bench.py
@@ -2,21 +2,20 @@
 
 from __future__ import annotations
 
-import os
 import statistics
 import time
-from pathlib import Path
 
 import msgspec
 import urllib3
 
 from kitekeel_lab.cluster import Cluster
 from kitekeel_lab.deployment import make_deployment, sample_text
+from kitekeel_lab.process_usage import processor_seconds
 
 _LOOKUPS = 3000
 _REQUESTS = 1500
 _WARM_UP = 200
-_CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+_IDLE_SECONDS = 3.0
 _LOOKUP_BAR_MS = 1.0
 
 
@@ -55,11 +54,9 @@
         pool = _connection(daemon.caller_address)
         target = f"/v1/entries?service=search&zone={daemon.zone}&block=10.0.0.0/24"
         _timed(pool, target, _WARM_UP)
-        pid = cluster.processes[daemon.name].pid
-        before, began_at = _ticks(pid), time.monotonic()
+        meter = _ProcessorMeter(cluster.processes[daemon.name].pid)
         times = _timed(pool, target, _LOOKUPS)
-        idle = _idle_ticks_per_second(pid) * (time.monotonic() - began_at)
-        used = (_ticks(pid) - before - idle) / _CLOCK_TICKS * 1000 / _LOOKUPS
+        used = meter.milliseconds_each(_LOOKUPS)
     return LookupReport(
         _LOOKUPS, used, _p(times, 50), _p(times, 99), _LOOKUP_BAR_MS, used < _LOOKUP_BAR_MS
     )
@@ -83,15 +80,13 @@
         direct_target, through_target = f"/{query}", f"/v1/services/search/{query}"
         _timed(direct, direct_target, _WARM_UP)
         _timed(through, through_target, _WARM_UP)
-        pid = cluster.processes[daemon.name].pid
-        before, began_at = _ticks(pid), time.monotonic()
+        meter = _ProcessorMeter(cluster.processes[daemon.name].pid)
         direct_times: list[float] = []
         through_times: list[float] = []
         for _ in range(_REQUESTS):
             direct_times += _timed(direct, direct_target, 1)
             through_times += _timed(through, through_target, 1)
-        idle = _idle_ticks_per_second(pid) * (time.monotonic() - began_at)
-        used = (_ticks(pid) - before - idle) / _CLOCK_TICKS * 1000 / _REQUESTS
+        used = meter.milliseconds_each(_REQUESTS)
     return OverheadReport(
         requests=_REQUESTS,
         direct_p50_ms=_p(direct_times, 50),
@@ -121,16 +116,24 @@
     return times
 
 
-def _idle_ticks_per_second(pid: int) -> float:
-    """Return what the daemon's control work costs while no request comes."""
-    before = _ticks(pid)
-    time.sleep(3.0)
-    return (_ticks(pid) - before) / 3.0
+class _ProcessorMeter:
+    """Measures a daemon's processor time for some requests, its idle control work left out."""
 
+    def __init__(self, process_id: int) -> None:
+        self._process_id = process_id
+        self._used_before = processor_seconds(process_id)
+        self._began_at = time.monotonic()
 
-def _ticks(pid: int) -> int:
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return int(fields[11]) + int(fields[12])
+    def milliseconds_each(self, requests: int) -> float:
+        """Return the processor time of each of the requests made since the start."""
+        used = processor_seconds(self._process_id) - self._used_before
+        elapsed = time.monotonic() - self._began_at
+        return (used - self._idle_share() * elapsed) * 1000 / requests
+
+    def _idle_share(self) -> float:
+        before = processor_seconds(self._process_id)
+        time.sleep(_IDLE_SECONDS)
+        return (processor_seconds(self._process_id) - before) / _IDLE_SECONDS
 
 
 def _p(times: list[float], percentile: int) -> float:
--- a/packages/kitekeel-lab/src/kitekeel_lab/hollow_server.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/hollow_server.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import resource
 import time
 from collections.abc import Iterable
 from concurrent import futures
 from http import HTTPStatus
-from pathlib import Path
 
 import msgspec
 
@@ -17,9 +15,9 @@
 from kitekeel_callers.intake import StartResponse
 from kitekeel_lab.deployment import DaemonSpec
 from kitekeel_lab.hollow_daemon import HollowDaemon, HollowStatus
+from kitekeel_lab.process_usage import resident_bytes
 
 _WORKERS = 32
-_PAGE_BYTES = resource.getpagesize()
 
 
 class HollowOrder(msgspec.Struct, frozen=True):
@@ -83,9 +81,3 @@
     server.start()
     farm.start()
     return server
-
-
-def resident_bytes(process: int | str) -> int:
-    """Return a process's resident memory."""
-    pages = Path(f"/proc/{process}/statm").read_text().split()[1]
-    return int(pages) * _PAGE_BYTES
--- a/packages/kitekeel-lab/src/kitekeel_lab/scale.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/scale.py
@@ -16,8 +16,9 @@
 from kitekeel_lab.child_process import start_python
 from kitekeel_lab.cluster import Cluster, wait_until
 from kitekeel_lab.deployment import DaemonSpec, Deployment, make_deployment, to_text
-from kitekeel_lab.hollow_server import HollowOrder, HollowReport, resident_bytes
+from kitekeel_lab.hollow_server import HollowOrder, HollowReport
 from kitekeel_lab.ports import free_address
+from kitekeel_lab.process_usage import processor_seconds, resident_bytes
 from kitekeel_steering.model import BackEnd, Configuration, PriorityClass, Region, Service
 
 _REGIONS = 16
@@ -31,7 +32,6 @@
 _EVENT_SECONDS = 40.0
 _FROZEN_SECONDS = 6.0
 _REPLACED_SHARE = 0.1
-_CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 
 
 class ScaleReport(msgspec.Struct):
@@ -125,7 +125,11 @@
         # Starting all at once leaves news to be passed on, which no ordinary hour has.
         wait_until(self._is_quiet, _QUIET_WAIT_SECONDS, "the news of the start to end")
         before = self._reports()
-        wire, platform, real = _loopback_bytes(), self._platform_calls(), self._real_ticks()
+        wire, platform, real = (
+            _loopback_bytes(),
+            self._platform_calls(),
+            self._real_processor_seconds(),
+        )
         began_at = time.monotonic()
         time.sleep(_IDLE_SECONDS)
         seconds = time.monotonic() - began_at
@@ -134,7 +138,9 @@
         count = max(1, report.hollow)
         report.wire_bytes_per_second = (_loopback_bytes() - wire) / seconds / report.daemons
         report.platform_calls_per_second = (self._platform_calls() - platform) / seconds
-        report.real_processor_share = (self._real_ticks() - real) / seconds / _REAL_DAEMONS
+        report.real_processor_share = (
+            (self._real_processor_seconds() - real) / seconds / _REAL_DAEMONS
+        )
         report.calls_per_second = _grown(before, after, "peers.calls_sent") / seconds / count
         sent = _grown(before, after, "peers.bytes_sent")
         received = _grown(before, after, "peers.bytes_received")
@@ -235,13 +241,9 @@
     def _platform_calls(self) -> int:
         return sum(self._cluster.platform_counts().values())
 
-    def _real_ticks(self) -> float:
-        total = 0
-        for daemon in self._deployment.daemons:
-            pid = self._cluster.processes[daemon.name].pid
-            fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-            total += int(fields[11]) + int(fields[12])
-        return total / _CLOCK_TICKS
+    def _real_processor_seconds(self) -> float:
+        names = [each.name for each in self._deployment.daemons]
+        return sum(processor_seconds(self._cluster.processes[name].pid) for name in names)
 
     def _say(self, text: str) -> None:
         print(f"scale {self._report.daemons}: {text}", file=sys.stderr)
@@ -308,5 +310,9 @@
 
 def _bare_process_bytes() -> int:
     """Return the memory of an interpreter that has only imported the hollow daemons' code."""
-    code = "import kitekeel_lab.hollow_server as h; print(h.resident_bytes('self'))"
+    code = (
+        "import kitekeel_lab.hollow_server; "
+        "from kitekeel_lab.process_usage import resident_bytes; "
+        "print(resident_bytes('self'))"
+    )
     return int(subprocess.run([sys.executable, "-c", code], capture_output=True, check=True).stdout)
