--- a/Makefile
+++ b/Makefile
@@ -17,14 +17,14 @@
 	$(BIN)/python -m kitekeel_lab demo
 
 lint: setup
-	$(BIN)/ruff format --check packages features tests
-	$(BIN)/ruff check packages features tests
+	$(BIN)/ruff format --check packages platform features tests
+	$(BIN)/ruff check packages platform features tests
 	$(BIN)/mypy
-	$(BIN)/lint-imports
+	PYTHONPATH=platform $(BIN)/lint-imports
 
 format: setup
-	$(BIN)/ruff format packages features tests
-	$(BIN)/ruff check --fix packages features tests
+	$(BIN)/ruff format packages platform features tests
+	$(BIN)/ruff check --fix packages platform features tests
 
 test: lint
 	$(BIN)/python -m kitekeel_lab verify
--- a/packages/kitekeel-lab/src/kitekeel_lab/verify.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/verify.py
@@ -54,7 +54,7 @@
     with tempfile.TemporaryDirectory() as folder:
         report = Path(folder) / "pytest.xml"
         command = ["-m", "pytest", "-q", "--doctest-modules", f"--junitxml={report}"]
-        subprocess.run([sys.executable, *command, "tests", "packages"], check=False)
+        subprocess.run([sys.executable, *command, "tests", "packages", "platform"], check=False)
         if not report.exists():
             return [TestResult("pytest", False)]
         cases = ElementTree.parse(report).getroot().iter("testcase")
--- a/tests/gateway_stand_ins.py
+++ b/tests/gateway_stand_ins.py
@@ -1,4 +1,4 @@
-"""An in-memory store, a product adapter and back ends for tests of whole gateways in one process."""
+"""An in-memory store, an adapter and back ends for tests of whole gateways in one process."""
 
 import asyncio
 import json
@@ -328,9 +328,7 @@
     ]
     writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
     head = (await reader.readuntil(b"\r\n\r\n")).decode()
-    headers = dict(
-        line.lower().split(": ", 1) for line in head.split("\r\n")[1:] if ": " in line
-    )
+    headers = dict(line.lower().split(": ", 1) for line in head.split("\r\n")[1:] if ": " in line)
     body = await reader.readexactly(int(headers.get("content-length", "0")))
     writer.close()
     return int(head.split()[1]), headers, body.decode()
--- a/tests/test_shared_limits.py
+++ b/tests/test_shared_limits.py
@@ -8,7 +8,7 @@
 from kitekeel_steering.clock import ManualClock
 from kitekeel_steering.routing import Route, WeightedService
 from kitekeel_steering.shared_limits import DaemonCount, WarmUpPacer, WindowedRetryBudget
-from kitekeel_steering.traffic_split import TrafficSplit
+from kitekeel_steering.weighted_choice import TrafficSplit
 
 
 @given(st.integers(0, 10_000), st.integers(1, 20))
