--- /dev/null
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/request_recorder.py
@@ -0,0 +1,132 @@
+"""Keeps the decisions about each request, and counts and logs them once it has ended."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+
+from kitekeel_daemon.back_end_sender import SendResult
+from kitekeel_daemon.decision_log import DecisionLog
+from kitekeel_daemon.gateway_metrics import GatewayMetrics
+from kitekeel_daemon.request_outcomes import Outcome, Reason
+from kitekeel_daemon.routed_request import RoutedRequest
+from kitekeel_steering.clock import Clock
+from kitekeel_steering.fleet_view import FleetView
+from kitekeel_steering.log_messages import RequestAdmitted, RequestEnded, RequestSent
+from kitekeel_steering.placement_policy import Placement
+from kitekeel_steering.proxied_messages import HeaderNames, ProxiedRequest, find_header
+
+
+class RequestRecorder:
+    """Records requests.
+
+    Args:
+        view: tells the ages of the beliefs that decided.
+        names: tells which header holds a request's id.
+    """
+
+    def __init__(
+        self,
+        view: FleetView,
+        names: HeaderNames,
+        clock: Clock,
+        metrics: GatewayMetrics,
+        log: DecisionLog,
+    ) -> None:
+        self._view = view
+        self._names = names
+        self._clock = clock
+        self._metrics = metrics
+        self._log = log
+
+    def request_id(self, request: ProxiedRequest) -> str:
+        """Return the id that a caller gave its request, empty where it gave none."""
+        return (find_header(request.headers, self._names.request_id) or b"").decode("latin-1")
+
+    def note_admitted(self, routed: RoutedRequest, configuration_version: int) -> None:
+        """Record that a request was matched to a route and a service."""
+        routed.lines.append(
+            RequestAdmitted(
+                request=routed.request_id,
+                at=self._clock.wall(),
+                route=routed.route.name,
+                service=routed.service,
+                priority=routed.route.priority,
+                configuration_version=configuration_version,
+                view_age=round(self._view.age_seconds(), 2),
+                allowed_seconds=round(routed.deadline - routed.request.received_at, 3),
+            )
+        )
+
+    def note_sent(
+        self,
+        routed: RoutedRequest,
+        placement: Placement,
+        result: SendResult,
+        sent_at: float,
+        report_age: float | None,
+    ) -> None:
+        """Record a send and what came of it.
+
+        Args:
+            routed: the request.
+            placement: the decision that chose the back end.
+            result: what came of the send.
+            sent_at: monotonic time in seconds.
+            report_age: age in seconds of the load report that the placement rested on.
+        """
+        if placement.candidate is None:
+            return
+        instance = placement.candidate.record.instance
+        routed.lines.append(
+            RequestSent(
+                request=routed.request_id,
+                at=self._clock.wall(),
+                attempt=routed.sends,
+                back_end=instance,
+                load_share=round(placement.load_share, 2),
+                report_age=round(report_age, 2) if report_age is not None else None,
+                record_age=round(self._view.record_age_seconds(instance), 1),
+                seconds=round(self._clock.monotonic() - sent_at, 3),
+                outcome=result.error or "answered",
+                may_have_run=result.may_have_run,
+            )
+        )
+
+    def note_ended(self, routed: RoutedRequest, outcome: Outcome, reason: str, status: int) -> None:
+        """Count a request that has ended, and log its decisions."""
+        route = routed.route
+        seconds = self._clock.monotonic() - routed.request.received_at
+        is_late = seconds > route.objective_seconds
+        self._metrics.note_ended(outcome.value, reason, routed.service, route.priority, seconds)
+        ended = RequestEnded(
+            request=routed.request_id,
+            at=self._clock.wall(),
+            outcome=outcome.value,
+            reason=reason,
+            status=status,
+            attempts=routed.attempts,
+            seconds=round(seconds, 3),
+            view_age=round(self._view.age_seconds(), 2),
+            known=routed.known,
+            usable=routed.usable,
+            is_late=is_late,
+        )
+        is_answered = outcome is Outcome.ANSWERED and status < HTTPStatus.INTERNAL_SERVER_ERROR
+        is_ordinary = is_answered and routed.sends == 1 and not is_late
+        self._log.request((*routed.lines, ended), is_ordinary)
+
+    def note_unrouted(self, request: ProxiedRequest, outcome: Outcome, reason: Reason) -> None:
+        """Count and log a request that was answered without a route."""
+        seconds = self._clock.monotonic() - request.received_at
+        self._metrics.note_ended(outcome.value, reason.value, "", 0, seconds)
+        ended = RequestEnded(
+            request=self.request_id(request),
+            at=self._clock.wall(),
+            outcome=outcome.value,
+            reason=reason.value,
+            status=0,
+            attempts=0,
+            seconds=round(seconds, 3),
+            view_age=round(self._view.age_seconds(), 2),
+        )
+        self._log.request((ended,), is_ordinary=False)
--- /dev/null
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/routed_request.py
@@ -0,0 +1,35 @@
+"""A request with its route, and what has been tried for it."""
+
+from __future__ import annotations
+
+import msgspec
+
+from kitekeel_steering.log_messages import LogMessage
+from kitekeel_steering.proxied_messages import ProxiedRequest
+from kitekeel_steering.routing import Route
+
+
+class RoutedRequest(msgspec.Struct):
+    """A request on its way through a daemon.
+
+    Attributes:
+        deadline: monotonic time by which the caller must have its final answer.
+        attempts: how many back ends may have received it.
+        sends: how many back ends were chosen, reached or not.
+        lines: its decisions so far, to be logged once it has ended.
+    """
+
+    request: ProxiedRequest
+    request_id: str
+    route: Route
+    service: str
+    affinity_key: str
+    urgency_rank: int
+    deadline: float
+    tried: set[str]
+    lines: list[LogMessage]
+    attempts: int = 0
+    sends: int = 0
+    may_have_run: bool = False
+    known: int = 0
+    usable: int = 0
--- a/packages/kitekeel-steering/src/kitekeel_steering/settings.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/settings.py
@@ -4,12 +4,12 @@
 
 import msgspec
 
-from kitekeel_steering.ini import IniDocument, IniSection, is_address
+from kitekeel_steering.ini import IniDocument, IniSection
+from kitekeel_steering.peer_options import read_secret, read_seeds
 
 _MOST_PLACES = 1000
 _MOST_THREADS = 2000
 _MOST_BYTES = 1 << 30
-_LEAST_SECRET_LENGTH = 16
 
 
 class DaemonSettings(msgspec.Struct, frozen=True):
@@ -156,14 +156,11 @@
 
 
 def _operators(section: IniSection) -> OperatorSettings:
-    return OperatorSettings(section.address("address"), _secret(section, "key"))
+    return OperatorSettings(section.address("address"), read_secret(section, "key"))
 
 
 def _peers(section: IniSection) -> PeerSettings:
-    seeds = section.names("seeds", "")
-    for seed in seeds:
-        if not is_address(seed):
-            section.note("seeds", "bad-address", f"'{seed}'", "IP numbers, ':' and a port")
+    seeds = read_seeds(section)
     files = [
         section.text(option, "")
         for option in ("tls_certificate_authority", "tls_certificate", "tls_key")
@@ -175,7 +172,7 @@
     return PeerSettings(
         address,
         section.address("advertised", address),
-        _secret(section, "secret"),
+        read_secret(section, "secret"),
         seeds,
         tls_certificate_authority=files[0],
         tls_certificate=files[1],
@@ -194,11 +191,3 @@
 def _metrics(section: IniSection) -> MetricsSettings:
     address = section.address("address", "")
     return MetricsSettings(address, section.text("prefix", "kitekeel"))
-
-
-def _secret(section: IniSection, option: str) -> str:
-    value = section.text(option)
-    if value and len(value) < _LEAST_SECRET_LENGTH:
-        allowed = f"at least {_LEAST_SECRET_LENGTH} characters"
-        section.note(option, "secret-too-short", f"{len(value)} characters", allowed)
-    return value
