--- a/packages/kitekeel-lab/src/kitekeel_lab/cli.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/cli.py
@@ -25,6 +25,7 @@
 from kitekeel_lab.platform_server import serve_platform
 from kitekeel_lab.policies import Policy, run_policy_daemon
 from kitekeel_lab.ports import skip_ports
+from kitekeel_lab.reference import reference as reference_page
 from kitekeel_lab.scale import run_scale
 from kitekeel_lab.scale_fit import fit_reports, plot_reports, read_reports
 from kitekeel_lab.verify import run_all_tests
@@ -56,6 +57,12 @@
     return _serve_until_told(lambda: serve_back_ends(specs, control, seed))
 
 
+def reference() -> int:
+    """Print the reference of log lines, codes, metrics and settings as Markdown."""
+    print(reference_page(), end="")
+    return 0
+
+
 def load(order: Path, result: Path) -> int:
     """Run one load process.
 
@@ -210,6 +217,7 @@
                     demo,
                     run,
                     verify,
+                    reference,
                 ]
             )
         )
