--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -16,6 +16,7 @@
 LOAD = 0.35
 MEAN_WORK_SECONDS = 0.25
 ROLLING_SECONDS_EACH = 9.0
+WORK_TIMEOUT_SECONDS = 8.0
 
 
 def start_load(context: Context, seconds: float) -> LoadRun:
@@ -34,6 +35,17 @@
     return {each.name for each in back_ends if each.region == name}
 
 
+def wait_for_work(context: Context) -> None:
+    """Wait until what is about to be drained has work; the load's start depends on the machine."""
+    deadline = time.monotonic() + WORK_TIMEOUT_SECONDS
+    while time.monotonic() < deadline:
+        records = context.cluster.records()
+        if any(records[name].runs for name in context.drained):
+            return
+        time.sleep(0.1)
+    raise AssertionError("the place to be drained got no work")
+
+
 @when("mixed load with uploads runs while every daemon is stopped and started in turn")
 def rolling_restart(context: Context) -> None:
     names = [each.name for each in context.deployment.daemons]
@@ -51,10 +63,11 @@
 def load_and_command(context: Context, text: str) -> None:
     load = start_load(context, 10.0)
     load.wait_for(3.0)
-    context.changed_at = time.time()
-    context.cluster.command(text)
     _, scope, name = text.split()
     context.drained = drained_names(context, scope, name)
+    wait_for_work(context)
+    context.changed_at = time.time()
+    context.cluster.command(text)
     context.outcomes = load.collect()
 
 
@@ -69,9 +82,10 @@
     load.wait_for(3.0)
     back_ends = context.deployment.configuration.back_ends
     address = next(each.address for each in back_ends if each.name == name)
+    context.drained = {name}
+    wait_for_work(context)
     context.changed_at = time.time()
     context.cluster.set_machines(frozenset({address}))
-    context.drained = {name}
     context.outcomes = load.collect()
 
 
