--- a/packages/kitekeel-platform/src/kitekeel_platform/lapsed_records.py
+++ b/packages/kitekeel-platform/src/kitekeel_platform/lapsed_records.py
@@ -19,6 +19,7 @@
 
 # Back ends leave a few at a time. An outage that this daemon did not notice shows as more at once.
 _MASS_SHARE = 1 / 3
+_LEAST_MASS = 3
 
 
 class SortedChanges(msgspec.Struct, frozen=True):
@@ -40,7 +41,7 @@
     """
     changes = tuple(items)
     unannounced = tuple(each for each in changes if _is_unannounced_removal(each, view))
-    is_mass = len(unannounced) > _MASS_SHARE * len(view.all_back_ends())
+    is_mass = len(unannounced) >= max(_LEAST_MASS, _MASS_SHARE * len(view.all_back_ends()))
     if not (is_after_outage or is_mass):
         return SortedChanges(changes, ())
     held = {id(each) for each in unannounced}
--- a/tests/test_fleet_sync.py
+++ b/tests/test_fleet_sync.py
@@ -146,9 +146,14 @@
 
 
 def test_many_unannounced_removals_at_once_are_held_without_a_noticed_outage() -> None:
-    seen = observe([first_read(), FleetItems((gone("a", 5), gone("b", 5)), 5)])
+    seen = observe([first_read(), FleetItems((gone("a", 5), gone("b", 5), gone("c", 5)), 5)])
     assert seen.at_once == set(NAMES)
-    assert seen.after_hold == {"c", "d"}
+    assert seen.after_hold == {"d"}
+
+
+def test_few_unannounced_removals_take_effect_at_once_however_small_the_fleet() -> None:
+    seen = observe([first_read(), FleetItems((gone("a", 5), gone("b", 5)), 5)])
+    assert seen.at_once == {"c", "d"}
 
 
 def test_a_back_end_that_leaves_while_the_store_is_well_goes_at_once() -> None:
