Series of changes are joined over a longer pause, and longer still in a large fleet

Ruled out: two watchers for each zone (news would depend on daemons that may be killed the moment before a drain is due); longer than 1.2 s (the drain bound is 2.5 s). Change: 0.8 s for back ends, and from 40 daemons on 1.2 s, 0.8 s for configuration.

--- a/tests/test_fleet_sync.py
+++ b/tests/test_fleet_sync.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 from collections.abc import Callable
 
 import msgspec
@@ -89,18 +90,24 @@
     return asyncio.run(_observe(script))
 
 
-async def _observe(script: list[FleetItems | PlatformError]) -> Observation:
-    view = FleetView(SystemClock())
-    sync = FleetSync(
+def back_ends_sync(
+    script: list[FleetItems | PlatformError], view: FleetView, daemons: int = 12
+) -> FleetSync:
+    return FleetSync(
         FleetPart.BACK_ENDS,
         ScriptedStore(script),
         view,
         lambda _name, _is_up, _reason: None,
         lambda _finding: None,
         random.Random(1),
-        HOLD_SECONDS,
+        lambda: daemons,
+        hold_seconds=HOLD_SECONDS,
     )
-    task = asyncio.create_task(sync.run())
+
+
+async def _observe(script: list[FleetItems | PlatformError]) -> Observation:
+    view = FleetView(SystemClock())
+    task = asyncio.create_task(back_ends_sync(script, view).run())
     await _until(lambda: not script)
     await asyncio.sleep(0.02)
     at_once = frozenset(view.back_ends("search"))
@@ -164,3 +171,20 @@
 def test_a_back_end_that_had_said_it_would_leave_goes_at_once_after_an_outage() -> None:
     seen = observe([first_read("a"), StoreDownError("away"), FleetItems((gone("a", 5),), 5)])
     assert seen.at_once == {"b", "c", "d"}
+
+
+async def _seconds_until_third_change(daemons: int) -> float:
+    changes = [FleetItems((written("a", revision),), revision) for revision in (2, 3, 4)]
+    view = FleetView(SystemClock())
+    started_at = time.monotonic()
+    task = asyncio.create_task(back_ends_sync([first_read(), *changes], view, daemons).run())
+    await _until(lambda: view.revisions[FleetPart.BACK_ENDS] == 4)
+    task.cancel()
+    return time.monotonic() - started_at
+
+
+def test_series_of_changes_are_joined_and_a_large_fleet_joins_more_of_them() -> None:
+    small = asyncio.run(_seconds_until_third_change(daemons=12))
+    large = asyncio.run(_seconds_until_third_change(daemons=74))
+    assert 1.5 < small < 2.2
+    assert 2.3 < large < 3.4
