--- a/tests/test_fleet_sync.py
+++ b/tests/test_fleet_sync.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from kitekeel_platform.fleet_store import FleetItems, HistoryLostError, RegisteredDaemon
-from kitekeel_platform.fleet_sync import FleetSync
+from kitekeel_platform.fleet_sync import FleetSync, SyncListeners
 from kitekeel_steering.clock import SystemClock
 from kitekeel_steering.errors import PlatformError
 from kitekeel_steering.fleet_view import (
@@ -66,10 +66,11 @@
 
 
 class Observation(msgspec.Struct, frozen=True):
-    """The back ends believed in right after the news, and after the hold."""
+    """The back ends believed in right after the news and after the hold; removals held."""
 
     at_once: frozenset[str]
     after_hold: frozenset[str]
+    held: int
 
 
 def written(name: str, revision: int, draining: bool = False) -> ViewItem:
@@ -91,14 +92,18 @@
 
 
 def back_ends_sync(
-    script: list[FleetItems | PlatformError], view: FleetView, daemons: int = 12
+    script: list[FleetItems | PlatformError],
+    view: FleetView,
+    held_counts: list[int],
+    daemons: int = 12,
 ) -> FleetSync:
     return FleetSync(
         FleetPart.BACK_ENDS,
         ScriptedStore(script),
         view,
-        lambda _name, _is_up, _reason: None,
-        lambda _finding: None,
+        SyncListeners(
+            lambda _name, _is_up, _reason: None, lambda _finding: None, held_counts.append
+        ),
         random.Random(1),
         lambda: daemons,
         hold_seconds=HOLD_SECONDS,
@@ -107,13 +112,14 @@
 
 async def _observe(script: list[FleetItems | PlatformError]) -> Observation:
     view = FleetView(SystemClock())
-    task = asyncio.create_task(back_ends_sync(script, view).run())
+    held_counts: list[int] = []
+    task = asyncio.create_task(back_ends_sync(script, view, held_counts).run())
     await _until(lambda: not script)
     await asyncio.sleep(0.02)
     at_once = frozenset(view.back_ends("search"))
     await asyncio.sleep(HOLD_SECONDS + 0.2)
     task.cancel()
-    return Observation(at_once, frozenset(view.back_ends("search")))
+    return Observation(at_once, frozenset(view.back_ends("search")), sum(held_counts))
 
 
 async def _until(condition: Callable[[], bool]) -> None:
@@ -126,6 +132,7 @@
     seen = observe([first_read(), StoreDownError("away"), FleetItems((gone("a", 5),), 5)])
     assert seen.at_once == set(NAMES)
     assert seen.after_hold == {"b", "c", "d"}
+    assert seen.held == 1
 
 
 def test_a_record_written_again_within_the_hold_never_goes_away() -> None:
@@ -166,6 +173,7 @@
 def test_a_back_end_that_leaves_while_the_store_is_well_goes_at_once() -> None:
     seen = observe([first_read(), FleetItems((gone("a", 5),), 5)])
     assert seen.at_once == {"b", "c", "d"}
+    assert seen.held == 0
 
 
 def test_a_back_end_that_had_said_it_would_leave_goes_at_once_after_an_outage() -> None:
@@ -177,7 +185,7 @@
     changes = [FleetItems((written("a", revision),), revision) for revision in (2, 3, 4)]
     view = FleetView(SystemClock())
     started_at = time.monotonic()
-    task = asyncio.create_task(back_ends_sync([first_read(), *changes], view, daemons).run())
+    task = asyncio.create_task(back_ends_sync([first_read(), *changes], view, [], daemons).run())
     await _until(lambda: view.revisions[FleetPart.BACK_ENDS] == 4)
     task.cancel()
     return time.monotonic() - started_at
