--- a/tests/test_fleet_sync.py
+++ b/tests/test_fleet_sync.py
@@ -49,6 +49,9 @@
             raise answer
         return answer
 
+    async def probe(self) -> None:
+        raise NotImplementedError
+
     async def grant_lease(self, life_seconds: float) -> int:
         raise NotImplementedError
 
