--- a/packages/kitekeel-lab/src/kitekeel_lab/child_process.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/child_process.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import ctypes
+import os
 import signal
 import subprocess
 import sys
+from collections.abc import Mapping
 from concurrent.futures import ThreadPoolExecutor
 from typing import IO
 
@@ -17,18 +19,29 @@
 _STARTER = ThreadPoolExecutor(1, thread_name_prefix="starter")
 
 
-def start_python(arguments: list[str], log: IO[bytes] | int) -> subprocess.Popen[bytes]:
-    """Start the interpreter with some arguments, its output going to a log."""
-    return _STARTER.submit(_start, arguments, log).result()
+def start_python(
+    arguments: list[str], log: IO[bytes] | int, variables: Mapping[str, str] | None = None
+) -> subprocess.Popen[bytes]:
+    """Start the interpreter.
 
+    Args:
+        arguments: of the interpreter.
+        log: takes all output.
+        variables: added to this process's environment.
+    """
+    return _STARTER.submit(_start, arguments, log, {**os.environ, **(variables or {})}).result()
 
-def _start(arguments: list[str], log: IO[bytes] | int) -> subprocess.Popen[bytes]:
+
+def _start(
+    arguments: list[str], log: IO[bytes] | int, environment: Mapping[str, str]
+) -> subprocess.Popen[bytes]:
     return subprocess.Popen(
         [sys.executable, *arguments],
         stdin=subprocess.DEVNULL,
         stdout=log,
         stderr=subprocess.STDOUT,
         preexec_fn=_end_with_parent,
+        env=environment,
     )
 
 
