The soak stands with the tests of the whole system

Change: platform/tests/gateway_soak.py, soak_*.py and test_gateway_soak.py go to tests/soak/; nothing else changes.

--- a/platform/tests/gateway_soak.py
+++ b/tests/soak/gateway_soak.py
@@ -1,6 +1,6 @@
 """A seeded soak of the gateway: real processes, faults from outside, promises checked throughout.
 
-    python platform/tests/gateway_soak.py --first-seed 1 --seeds 50 --seconds 15
+    python tests/soak/gateway_soak.py --first-seed 1 --seeds 50 --seconds 15
 
 Equal seeds draw equal faults; what the machine makes of their timing differs from run to run.
 """
@@ -12,7 +12,8 @@
 from pathlib import Path
 
 _ROOT = Path(__file__).resolve().parent.parent.parent
-sys.path[1:1] = [str(_ROOT / "platform"), *map(str, sorted(_ROOT.glob("packages/*/src")))]
+_FOLDERS = [_ROOT / "platform", _ROOT / "platform" / "tests", *sorted(_ROOT.glob("packages/*/src"))]
+sys.path[1:1] = [str(each) for each in _FOLDERS]
 
 import defopt  # noqa: E402
 import msgspec  # noqa: E402
--- a/platform/tests/soak_daemon.py
+++ b/tests/soak/soak_daemon.py
@@ -9,7 +9,7 @@
 
 from kitekeel_lab.child_process import start_python
 
-_MAIN = Path(__file__).resolve().parent.parent / "main.py"
+_MAIN = Path(__file__).resolve().parent.parent.parent / "platform" / "main.py"
 STOP_SECONDS = 3.0
 # Lines of /proc/PID/status with the signals that a process ignores and catches, as bits from 1.
 _SIGNAL_MASKS = ("SigIgn", "SigCgt")
