Sight: what the store and other daemons answered, and how late the last byte to a leaving back end goes

Cause: the lines told when a belief changed, not which call told it, how long the call took, from which revision on, or what was held. Change: lines store-answered, history-lost and peer-answered; histograms of the store's calls and of the time from the news of a departure until it is believed and until the last byte of a request to it left. No change of what is believed or when.

--- a/tests/test_fleet_sync.py
+++ b/tests/test_fleet_sync.py
@@ -105,7 +105,11 @@
         ScriptedStore(script),
         view,
         SyncListeners(
-            lambda _name, _is_up, _reason: None, lambda _finding: None, held_counts.append
+            lambda _name, _is_up, _reason: None,
+            lambda _finding: None,
+            held_counts.append,
+            lambda _answer: None,
+            lambda _part, _after: None,
         ),
         random.Random(1),
         lambda: daemons,
