Failing tests: a deaf watch while configurations change, and a removal that the other daemon never saw

Change: tests only. The stand-in store can keep a watch deaf until the next change. Both tests fail: the pull from another daemon is skipped when anything else changed during its grace, and a daemon that restarted never offers the removals it did not see.

--- /dev/null
+++ b/tests/test_departures.py
@@ -0,0 +1,77 @@
+"""Back ends that leave: no daemon sends to one for long, whatever it has missed."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from gateway_stand_ins import MemoryStore, RunningGateway, configuration, draining, fleet, play
+
+from kitekeel_steering.fleet_view import FleetPart
+
+# The shortest time, over the deployments known, in which a leaving back end must get no more.
+DEPARTURE_SECONDS = 2.5
+FIRST_SERIES_VERSION = 10
+SERIES_GAP_SECONDS = 0.25
+
+
+async def until(condition: Callable[[], bool], seconds: float) -> bool:
+    """Wait for a condition; tell whether it held in time."""
+    end = time.monotonic() + seconds
+    while not condition():
+        if time.monotonic() > end:
+            return False
+        await asyncio.sleep(0.02)
+    return True
+
+
+async def write_series(store: MemoryStore) -> None:
+    """Write one configuration after the other until cancelled."""
+    version = FIRST_SERIES_VERSION
+    while True:
+        await store.put_configuration(configuration(version))
+        version += 1
+        await asyncio.sleep(SERIES_GAP_SECONDS)
+
+
+def test_a_daemon_whose_watch_is_deaf_learns_of_a_departure_while_configurations_change() -> None:
+    async def scenario() -> None:
+        store, back_ends = await fleet()
+        first = await RunningGateway(store, "g1").start()
+        second = await RunningGateway(store, "g2", first.peers).start()
+        assert await until(lambda: len(second.gateway.membership.table.live()) == 2, 5.0)
+        store.deaf.add(("g1", FleetPart.BACK_ENDS))
+        await store.cut_watches()
+        leaving = back_ends[0].record
+        await store.put_back_end(draining(leaving))
+        series = asyncio.create_task(write_series(store))
+
+        def is_known() -> bool:
+            return not first.gateway.view.may_receive(leaving)
+
+        is_known_in_time = await until(is_known, DEPARTURE_SECONDS)
+        series.cancel()
+        assert not store.deaf
+        assert is_known_in_time
+
+    play(scenario)
+
+
+def test_a_daemon_that_started_later_tells_of_a_removal_that_it_never_saw() -> None:
+    async def scenario() -> None:
+        store, back_ends = await fleet()
+        first = await RunningGateway(store, "g1").start()
+        store.deaf.add(("g1", FleetPart.BACK_ENDS))
+        await store.cut_watches()
+        leaving = back_ends[0].record
+        await store.remove_back_end(leaving.instance)
+        await until(lambda: not store.deaf, 2.0)
+        second = await RunningGateway(store, "g2", first.peers).start()
+        assert await until(lambda: len(first.gateway.membership.table.live()) == 2, 5.0)
+        assert not second.gateway.view.may_receive(leaving)
+
+        def is_known() -> bool:
+            return not first.gateway.view.may_receive(leaving)
+
+        assert await until(is_known, DEPARTURE_SECONDS)
+
+    play(scenario)
