Views compare beliefs only where both are whole; a read claims no more than its first page covers

A read of several pages carried changes newer than its first page, and the daemon claimed all up to them. Ruled out: lost changes; each part read anew was the same. Change: the claim ends at the first page's revision, and a view that believes something later than its claim offers no hash.

--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -10,6 +10,9 @@
 
 # The shortest time, over the deployments known, in which a leaving back end must get no more.
 DEPARTURE_SECONDS = 2.5
+# A record runs out after three heartbeats of 1.5 s; a removal is withheld for one more.
+OUTAGE_SECONDS = 3.3
+HOLD_SECONDS = 1.9
 FIRST_SERIES_VERSION = 10
 SERIES_GAP_SECONDS = 0.25
 
@@ -75,3 +78,28 @@
         assert await until(is_known, DEPARTURE_SECONDS)
 
     play(scenario)
+
+
+def test_a_removal_that_the_other_daemon_withheld_is_not_lost() -> None:
+    """The first daemon's watch is deaf; the second has just come back from an outage."""
+
+    async def scenario() -> None:
+        store, (leaving, announcing) = await fleet()
+        first = await RunningGateway(store, "g1").start()
+        second = await RunningGateway(store, "g2", first.peers).start()
+        assert await until(lambda: len(second.gateway.membership.table.live()) == 2, 5.0)
+        store.turned_away.add("g2")
+        await store.cut_watches()
+        await asyncio.sleep(OUTAGE_SECONDS)
+        store.deaf.add(("g1", FleetPart.BACK_ENDS))
+        await store.cut_watches()
+        await store.remove_back_end(leaving.record.instance)
+        await store.put_back_end(draining(announcing.record))
+        store.turned_away.discard("g2")
+
+        def is_known() -> bool:
+            return not first.gateway.view.may_receive(leaving.record)
+
+        assert await until(is_known, HOLD_SECONDS + DEPARTURE_SECONDS)
+
+    play(scenario)
--- a/tests/test_fleet_sync.py
+++ b/tests/test_fleet_sync.py
@@ -254,3 +254,20 @@
     large = asyncio.run(_seconds_until_third_change(daemons=74))
     assert 1.5 < small < 2.2
     assert 2.3 < large < 3.4
+
+
+def test_a_read_whose_later_page_is_newer_claims_only_what_its_first_page_covers() -> None:
+    async def scenario() -> None:
+        view = FleetView(SystemClock())
+        pages = FleetItems((written("a", 3), written("c", 9)), 5)
+        task = asyncio.create_task(back_ends_sync([pages], view, []).run())
+        await _until(view_is_complete(view))
+        task.cancel()
+        assert view.known_through(FleetPart.BACK_ENDS) == 3
+        assert set(view.back_ends("search")) == {"a", "c"}
+
+    asyncio.run(scenario())
+
+
+def view_is_complete(view: FleetView) -> Callable[[], bool]:
+    return lambda: view.is_complete(FleetPart.BACK_ENDS)
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -162,3 +162,28 @@
     assert table.find("h", "/b/") is None
     assert table.find("unknown", "/a/") is None
     assert table.urgency_rank(found, "search") == 1
+
+
+def fingerprint(view: FleetView) -> int:
+    return view.progress[FleetPart.BACK_ENDS].fingerprint
+
+
+def test_views_that_believe_the_same_have_one_fingerprint_whatever_way_they_came_to_it() -> None:
+    read = complete_view(back_end("a", 3), back_end("b", 4))
+    told = complete_view(back_end("a", 2))
+    told.take_over(changes(2, back_end("b", 4), back_end("a", 3)), "store")
+    assert fingerprint(read) == fingerprint(told) != 0
+    other = complete_view(back_end("a", 3), back_end("c", 3), back_end("b", 4))
+    assert fingerprint(other) not in (0, fingerprint(read))
+
+
+def test_a_view_that_is_partly_ahead_or_withholds_offers_no_fingerprint() -> None:
+    view = complete_view(back_end("a", 3))
+    view.take_over(changes(4, back_end("b", 5)), "peer")
+    assert fingerprint(view) == 0
+    view = complete_view(back_end("a", 3), back_end("b", 3))
+    removal = back_end("a", 4, removed=True)
+    view.take_over(changes(3, removal), "store", lapses=[removal])
+    assert fingerprint(view) == 0
+    view.merge([removal], "store")
+    assert fingerprint(view) == fingerprint(complete_view(back_end("b", 3))) != 0
