--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -1,6 +1,7 @@
 """Steps about planned stops, drains and freezes under load."""
 
 import time
+from collections import Counter
 
 from behave import then, when
 from behave.runner import Context
@@ -46,6 +47,12 @@
     raise AssertionError("the place to be drained got no work")
 
 
+def summarized(records: list[LoadRecord]) -> list[str]:
+    """Count requests by stream, entry, code and the second in which they were sent."""
+    kinds = Counter((each.stream, each.entry, each.code, int(each.started_at)) for each in records)
+    return [f"{count} x {' '.join(map(str, kind))}" for kind, count in sorted(kinds.items())]
+
+
 @when("mixed load with uploads runs while every daemon is stopped and started in turn")
 def rolling_restart(context: Context) -> None:
     names = [each.name for each in context.deployment.daemons]
@@ -131,8 +138,8 @@
     print(f"{len(outcomes)} requests, {len(unknown)} unknown")
     named = {each for name in breaches.__struct_fields__ for each in getattr(breaches, name)}
     details = [each for each in outcomes if each.request_id in named]
-    assert breaches.count() == 0, (breaches, details[:5])
-    assert not unknown, unknown[:5]
+    assert breaches.count() == 0, (breaches, summarized(details), details[:5])
+    assert not unknown, (summarized(unknown), unknown[:5])
 
 
 @then("at most {percent:g}% of the requests were refused")
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/departures.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/departures.py
@@ -11,7 +11,8 @@
 from collections import OrderedDict
 
 from kitekeel_daemon.gateway_metrics import GatewayMetrics
-from kitekeel_steering.fleet_view import ItemKind, ViewChange
+from kitekeel_steering.fleet_items import ItemKind
+from kitekeel_steering.fleet_view import ViewChange
 
 # Departures older than the last so many have no requests under way any more.
 _MOST_DEPARTURES = 1_000
--- a/packages/kitekeel-platform/src/kitekeel_platform/lapsed_records.py
+++ b/packages/kitekeel-platform/src/kitekeel_platform/lapsed_records.py
@@ -9,7 +9,8 @@
 
 from collections.abc import Iterable
 
-from kitekeel_steering.fleet_view import FleetView, ItemKind, ViewItem
+from kitekeel_steering.fleet_items import ItemKind, ViewItem
+from kitekeel_steering.fleet_view import FleetView
 
 # Back ends leave a few at a time. An outage that this daemon did not notice shows as more at once.
 _MASS_SHARE = 1 / 3
--- /dev/null
+++ b/packages/kitekeel-steering/src/kitekeel_steering/fleet_items.py
@@ -0,0 +1,90 @@
+"""The items that a fleet view consists of, and the news that brings them.
+
+Items are typed by kind and carry the revision at which the platform's store recorded them. The
+store and the other daemons tell them part by part.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from kitekeel_steering.routing import RoutingConfiguration
+
+
+class BackEndRecord(msgspec.Struct, frozen=True):
+    """A back end as it registered itself.
+
+    Attributes:
+        instance: unique for each start of the back end.
+        slots: requests that it works on at once.
+        draining: whether it is about to leave and must get no new work.
+        cold_seconds: how much longer it stays cold, counted from when the record was written.
+    """
+
+    instance: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    draining: bool = False
+    cold_seconds: float = 0.0
+    version: str = ""
+
+
+class ItemKind(enum.IntEnum):
+    """The kinds of beliefs."""
+
+    CONFIGURATION = 0
+    BACK_END = 1
+    EVACUATION = 2
+
+
+class FleetPart(enum.IntEnum):
+    """The two parts of the view; each is read and watched on its own."""
+
+    CONFIGURATION = 0
+    BACK_ENDS = 1
+
+
+def part_of(kind: ItemKind) -> FleetPart:
+    """Return the part that a kind of belief belongs to."""
+    return FleetPart.BACK_ENDS if kind is ItemKind.BACK_END else FleetPart.CONFIGURATION
+
+
+class ViewItem(msgspec.Struct, frozen=True, array_like=True):
+    """One belief, or the news that it no longer holds.
+
+    Attributes:
+        name: the back end's instance or the zone; empty for the configuration.
+        revision: the store's revision of the last change.
+        configuration, back_end: the content, by kind; both ``None`` once it was removed and for
+            evacuations.
+        removed: whether the item is gone.
+    """
+
+    kind: ItemKind
+    name: str
+    revision: int
+    configuration: RoutingConfiguration | None = None
+    back_end: BackEndRecord | None = None
+    removed: bool = False
+
+
+class PartNews(msgspec.Struct, frozen=True, array_like=True):
+    """What the store or another daemon tells of one part.
+
+    Attributes:
+        after: the items tell every change after this revision; 0 for a snapshot.
+        known_through: the last change up to which they do.
+        items: beliefs and, unless it is a snapshot, removals.
+        snapshot_at: where the items are the whole part, the revision at which they were; what they
+            lack was gone by then. Else ``None``.
+    """
+
+    part: FleetPart
+    after: int
+    known_through: int
+    items: tuple[ViewItem, ...]
+    snapshot_at: int | None = None
--- /dev/null
+++ b/tests/memory_store.py
@@ -0,0 +1,167 @@
+"""The platform's store as an object in memory, with the faults that tests ask for."""
+
+import asyncio
+
+from kitekeel_platform.fleet_store import (
+    FleetItems,
+    HistoryLostError,
+    LeaseEndedError,
+    RegisteredDaemon,
+)
+from kitekeel_steering.errors import PlatformUnavailableError
+from kitekeel_steering.fleet_items import BackEndRecord, FleetPart, ItemKind, ViewItem, part_of
+from kitekeel_steering.routing import RoutingConfiguration
+
+
+class MemoryStore:
+    """The platform's store as one object; daemons may be turned away by name.
+
+    Attributes:
+        is_silent: watches that are sent now get no answer, also once the store is back.
+        deaf: the next watch of a daemon on a part is kept waiting although there may be news, until
+            the part's next change after its begin.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.items: dict[tuple[ItemKind, str], ViewItem] = {}
+        self.history: list[ViewItem] = []
+        self.oldest = 0
+        self.daemons: dict[str, RegisteredDaemon] = {}
+        self.turned_away: set[str] = set()
+        self.is_silent = False
+        self.deaf: set[tuple[str, FleetPart]] = set()
+        self.cuts = 0
+        self.changed = asyncio.Condition()
+        self.calls = 0
+
+    async def put(self, item: ViewItem) -> None:
+        async with self.changed:
+            self.revision += 1
+            stamped = ViewItem(
+                item.kind,
+                item.name,
+                self.revision,
+                item.configuration,
+                item.back_end,
+                item.removed,
+            )
+            key = (item.kind, item.name)
+            if item.removed:
+                self.items.pop(key, None)
+            else:
+                self.items[key] = stamped
+            self.history.append(stamped)
+            self.changed.notify_all()
+
+    async def put_back_end(self, record: BackEndRecord) -> None:
+        await self.put(ViewItem(ItemKind.BACK_END, record.instance, 0, back_end=record))
+
+    async def remove_back_end(self, instance: str) -> None:
+        await self.put(ViewItem(ItemKind.BACK_END, instance, 0, removed=True))
+
+    async def put_configuration(self, configuration: RoutingConfiguration) -> None:
+        await self.put(ViewItem(ItemKind.CONFIGURATION, "", 0, configuration=configuration))
+
+    async def forget_history(self) -> None:
+        async with self.changed:
+            self.oldest = self.revision
+            self.history.clear()
+            self.changed.notify_all()
+
+    def has_changed(self, part: FleetPart, after: int) -> bool:
+        """Tell whether anything of a part was written or removed after a revision."""
+        return any(each.revision > after and part_of(each.kind) is part for each in self.history)
+
+    async def cut_watches(self) -> None:
+        """End every waiting watch without an answer."""
+        async with self.changed:
+            self.cuts += 1
+            self.changed.notify_all()
+
+    def open_for(self, name: str) -> "StoreView":
+        return StoreView(self, name)
+
+
+class StoreView:
+    """The store as one daemon sees it."""
+
+    def __init__(self, store: MemoryStore, name: str) -> None:
+        self._store = store
+        self._name = name
+
+    def _check(self) -> None:
+        self._store.calls += 1
+        if self._name in self._store.turned_away:
+            raise PlatformUnavailableError("turned away")
+
+    async def read(self, part: FleetPart) -> FleetItems:
+        self._check()
+        found = [each for each in self._store.items.values() if part_of(each.kind) is part]
+        return FleetItems(tuple(found), self._store.revision)
+
+    async def watch(self, part: FleetPart, after: int, wait_seconds: float) -> FleetItems:
+        self._check()
+        store = self._store
+        if store.is_silent:
+            await asyncio.sleep(wait_seconds)
+            raise PlatformUnavailableError("no answer in time")
+        found: list[ViewItem] = []
+        cuts = store.cuts
+        told_from = after
+        if (self._name, part) in store.deaf:
+            store.deaf.discard((self._name, part))
+            told_from = store.revision
+
+        def arrived() -> bool:
+            if store.cuts != cuts:
+                return True
+            if told_from > after and not store.has_changed(part, told_from):
+                return False
+            if after < store.oldest or self._name in store.turned_away:
+                return True
+            found[:] = [
+                each
+                for each in store.history
+                if each.revision > after and part_of(each.kind) is part
+            ]
+            return bool(found)
+
+        try:
+            async with asyncio.timeout(wait_seconds), store.changed:
+                await store.changed.wait_for(arrived)
+        except TimeoutError:
+            return FleetItems((), after)
+        self._check()
+        if store.cuts != cuts:
+            raise PlatformUnavailableError("the watch was cut")
+        if after < store.oldest:
+            raise HistoryLostError("history lost")
+        return FleetItems(tuple(found), found[-1].revision)
+
+    async def probe(self, seconds: float) -> None:
+        self._check()
+        if self._store.is_silent:
+            await asyncio.sleep(seconds)
+            raise PlatformUnavailableError("no answer in time")
+
+    async def grant_lease(self, life_seconds: float) -> int:
+        self._check()
+        return 1
+
+    async def renew_lease(self, lease: int) -> None:
+        self._check()
+        if self._name not in self._store.daemons:
+            raise LeaseEndedError("the lease is over")
+
+    async def end_lease(self, lease: int) -> None:
+        self._check()
+        self._store.daemons.pop(self._name, None)
+
+    async def register(self, daemon: RegisteredDaemon, lease: int) -> None:
+        self._check()
+        self._store.daemons[self._name] = daemon
+
+    async def registered_daemons(self) -> tuple[RegisteredDaemon, ...]:
+        self._check()
+        return tuple(self._store.daemons.values())
--- a/tests/soak/gateway_soak.py
+++ b/tests/soak/gateway_soak.py
@@ -12,7 +12,12 @@
 from pathlib import Path
 
 _ROOT = Path(__file__).resolve().parent.parent.parent
-_FOLDERS = [_ROOT / "platform", _ROOT / "platform" / "tests", *sorted(_ROOT.glob("packages/*/src"))]
+_FOLDERS = [
+    _ROOT / "tests",
+    _ROOT / "platform",
+    _ROOT / "platform" / "tests",
+    *sorted(_ROOT.glob("packages/*/src")),
+]
 sys.path[1:1] = [str(each) for each in _FOLDERS]
 
 import defopt  # noqa: E402
--- a/tests/soak/soak_daemon.py
+++ b/tests/soak/soak_daemon.py
@@ -3,10 +3,11 @@
 import asyncio
 import os
 import signal
-import socket
 import subprocess
 from pathlib import Path
 
+from loopback import free_address
+
 from kitekeel_lab.child_process import start_python
 
 _MAIN = Path(__file__).resolve().parent.parent.parent / "platform" / "main.py"
@@ -16,12 +17,6 @@
 _HANGUP_BIT = 1 << (signal.SIGHUP - 1)
 
 
-def free_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 class SoakDaemon:
     """One daemon, which keeps its addresses over all its starts.
 
--- a/tests/soak/soak_fleet.py
+++ b/tests/soak/soak_fleet.py
@@ -4,9 +4,10 @@
 import signal
 from pathlib import Path
 
+from loopback import free_address
 from soak_back_end import SERVICE, Run, SoakBackEnd
 from soak_caller import HOST
-from soak_daemon import STOP_SECONDS, SoakDaemon, free_address
+from soak_daemon import STOP_SECONDS, SoakDaemon
 from store_stand_in import StoreStandIn
 
 from kitekeel_lab.fault_proxy import FaultProxy
--- a/tests/soak/test_gateway_soak.py
+++ b/tests/soak/test_gateway_soak.py
@@ -7,7 +7,8 @@
 
 import pytest
 from gateway_soak import soak
-from soak_daemon import SoakDaemon, free_address
+from loopback import free_address
+from soak_daemon import SoakDaemon
 
 _STARTED_SECONDS = 5.0
 
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -4,9 +4,10 @@
 import time
 from collections.abc import Callable
 
-from gateway_stand_ins import MemoryStore, RunningGateway, configuration, draining, fleet, play
+from gateway_stand_ins import RunningGateway, configuration, draining, fleet, play
+from memory_store import MemoryStore
 
-from kitekeel_steering.fleet_view import FleetPart
+from kitekeel_steering.fleet_items import FleetPart
 
 # The shortest time, over the deployments known, in which a leaving back end must get no more.
 DEPARTURE_SECONDS = 2.5
--- a/tests/test_fleet_sync.py
+++ b/tests/test_fleet_sync.py
@@ -12,13 +12,8 @@
 from kitekeel_platform.store_contact import StoreContact
 from kitekeel_steering.clock import SystemClock
 from kitekeel_steering.errors import PlatformError
-from kitekeel_steering.fleet_view import (
-    BackEndRecord,
-    FleetPart,
-    FleetView,
-    ItemKind,
-    ViewItem,
-)
+from kitekeel_steering.fleet_items import BackEndRecord, FleetPart, ItemKind, ViewItem
+from kitekeel_steering.fleet_view import FleetView
 
 # Records run out after an outage of two of these, a little less than the shortest backoff.
 HEARTBEAT_SECONDS = 0.02
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -6,14 +6,8 @@
 from hypothesis import strategies as st
 
 from kitekeel_steering.clock import ManualClock
-from kitekeel_steering.fleet_view import (
-    BackEndRecord,
-    FleetPart,
-    FleetView,
-    ItemKind,
-    PartNews,
-    ViewItem,
-)
+from kitekeel_steering.fleet_items import BackEndRecord, FleetPart, ItemKind, PartNews, ViewItem
+from kitekeel_steering.fleet_view import FleetView
 from kitekeel_steering.routing import Route, RouteTable, RoutingConfiguration, WeightedService
 
 
--- a/tests/test_view_model.py
+++ b/tests/test_view_model.py
@@ -11,15 +11,15 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from kitekeel_steering.clock import ManualClock
-from kitekeel_steering.fleet_view import (
+from kitekeel_steering.fleet_items import (
     BackEndRecord,
     FleetPart,
-    FleetView,
     ItemKind,
     PartNews,
     ViewItem,
     part_of,
 )
+from kitekeel_steering.fleet_view import FleetView
 from kitekeel_steering.routing import RoutingConfiguration
 
 DAEMONS = 3
