A failing registration is told in the log, with its reason and its end

Cause: the task and the planned stop dropped the store's error. Change: it tells as a dependency of its own, once for each change.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/fleet_follower.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/fleet_follower.py
@@ -58,7 +58,7 @@
         contact = StoreContact(clock, record_heartbeat_seconds)
         self._probe = StoreProbe(store, self._on_probed, generator, contact)
         listeners = SyncListeners(
-            self._on_dependency,
+            self.on_dependency,
             self._on_finding,
             self._on_removals_held,
             self._on_store_answer,
@@ -81,13 +81,14 @@
             self._on_contradiction,
         )
 
-    def _on_dependency(self, name: str, is_up: bool, reason: str) -> None:
+    def on_dependency(self, name: str, is_up: bool, reason: str) -> None:
+        """Tell that something this daemon depends on is lost, and why, or is regained."""
         age = round(self._view.age_seconds(), 2)
         lost = DependencyLost(name, reason, age)
         self._log.state(DependencyRegained(name, age) if is_up else lost)
 
     def _on_probed(self, is_up: bool, reason: str) -> None:
-        self._on_dependency("store", is_up, reason)
+        self.on_dependency("store", is_up, reason)
         if is_up:
             for each in self._syncs.values():
                 each.restart()
