How far a part is known counts revisions at which nothing of it changed

Cause: found by reading. The store counts the changes of all parts with one revision, and a watch goes on from that. Change: an extent has both, the revision covered and the last change; answers without changes extend it too. A test fails without it.

--- a/packages/kitekeel-steering/src/kitekeel_steering/fleet_items.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/fleet_items.py
@@ -72,19 +72,33 @@
     removed: bool = False
 
 
+class Extent(msgspec.Struct, frozen=True, array_like=True):
+    """How far a part is known.
+
+    The store counts the changes of all parts, and of other keys, with one revision. So a part may
+    be known through revisions at which nothing of it changed.
+
+    Attributes:
+        covered_through: the revision up to which every change is known.
+        last_change: the last of those changes.
+    """
+
+    covered_through: int = 0
+    last_change: int = 0
+
+
 class PartNews(msgspec.Struct, frozen=True, array_like=True):
     """What the store or another daemon tells of one part.
 
     Attributes:
         after: the items tell every change after this revision; 0 for a snapshot.
-        known_through: the last change up to which they do.
-        items: beliefs and, unless it is a snapshot, removals.
-        snapshot_at: where the items are the whole part, the revision at which they were; what they
-            lack was gone by then. Else ``None``.
+        extent: how far they do.
+        items: beliefs and, unless it is a snapshot, removals; some may be later still.
+        is_snapshot: whether the items are the whole part, so that what they lack is gone.
     """
 
     part: FleetPart
     after: int
-    known_through: int
+    extent: Extent
     items: tuple[ViewItem, ...]
-    snapshot_at: int | None = None
+    is_snapshot: bool = False
--- a/tests/test_fleet_sync.py
+++ b/tests/test_fleet_sync.py
@@ -208,7 +208,7 @@
     for pause in pauses:
         await asyncio.sleep(pause)
         contact.note_answer()
-    await _until(lambda: view.known_through(FleetPart.BACK_ENDS) == 5 or bool(held_counts))
+    await _until(lambda: view.extent(FleetPart.BACK_ENDS).last_change == 5 or bool(held_counts))
     at_once = frozenset(view.back_ends("search"))
     task.cancel()
     return Observation(at_once, at_once, sum(held_counts))
@@ -239,7 +239,7 @@
     view = FleetView(SystemClock())
     started_at = time.monotonic()
     task = asyncio.create_task(back_ends_sync([first_read(), *changes], view, [], daemons).run())
-    await _until(lambda: view.known_through(FleetPart.BACK_ENDS) == 4)
+    await _until(lambda: view.extent(FleetPart.BACK_ENDS).last_change == 4)
     task.cancel()
     return time.monotonic() - started_at
 
@@ -258,7 +258,7 @@
         task = asyncio.create_task(back_ends_sync([pages], view, []).run())
         await _until(view_is_complete(view))
         task.cancel()
-        assert view.known_through(FleetPart.BACK_ENDS) == 3
+        assert view.extent(FleetPart.BACK_ENDS).last_change == 3
         assert set(view.back_ends("search")) == {"a", "c"}
 
     asyncio.run(scenario())
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -6,7 +6,14 @@
 from hypothesis import strategies as st
 
 from kitekeel_steering.clock import ManualClock
-from kitekeel_steering.fleet_items import BackEndRecord, FleetPart, ItemKind, PartNews, ViewItem
+from kitekeel_steering.fleet_items import (
+    BackEndRecord,
+    Extent,
+    FleetPart,
+    ItemKind,
+    PartNews,
+    ViewItem,
+)
 from kitekeel_steering.fleet_view import FleetView
 from kitekeel_steering.routing import Route, RouteTable, RoutingConfiguration, WeightedService
 
@@ -67,21 +74,25 @@
     """Return a view that knows everything up to the last of the items."""
     last = max(each.revision for each in items)
     view = FleetView(ManualClock())
-    view.take_over(PartNews(FleetPart.BACK_ENDS, 0, last, items, snapshot_at=last), "store")
+    view.take_over(
+        PartNews(FleetPart.BACK_ENDS, 0, Extent(last, last), items, is_snapshot=True), "store"
+    )
     return view
 
 
 def changes(after: int, *items: ViewItem) -> PartNews:
     """Return the changes after a revision."""
     last = max(each.revision for each in items)
-    return PartNews(FleetPart.BACK_ENDS, after, last, items)
+    return PartNews(FleetPart.BACK_ENDS, after, Extent(last, last), items)
 
 
 def test_a_complete_read_removes_what_it_lacks_but_not_what_is_newer() -> None:
     view = FleetView(ManualClock())
     view.merge([back_end("old", 3), back_end("newer", 9), evacuation("n2", 2)], "test")
     found = [back_end("kept", 4)]
-    view.take_over(PartNews(FleetPart.BACK_ENDS, 0, 4, tuple(found), snapshot_at=5), "test")
+    view.take_over(
+        PartNews(FleetPart.BACK_ENDS, 0, Extent(5, 4), tuple(found), is_snapshot=True), "test"
+    )
     assert set(view.back_ends("search")) == {"newer", "kept"}
     assert view.evacuated_zones == {"n2"}
 
@@ -109,17 +120,27 @@
     view = complete_view(back_end("a", 3))
     other = complete_view(back_end("a", 3))
     view.take_over(changes(3, back_end("b", 4), back_end("a", 5, removed=True)), "store")
-    other.take_over(view.news_after(FleetPart.BACK_ENDS, 3), "peer")
+    other.take_over(view.news_for(FleetPart.BACK_ENDS, Extent(3, 3)), "peer")
     assert set(other.back_ends("search")) == {"b"}
-    assert other.known_through(FleetPart.BACK_ENDS) == 5
+    assert other.extent(FleetPart.BACK_ENDS).last_change == 5
 
 
 def test_a_later_change_does_not_hide_that_an_earlier_one_is_missing() -> None:
     view = complete_view(back_end("a", 3), back_end("b", 3))
     view.take_over(changes(4, back_end("b", 5)), "peer")
-    assert view.known_through(FleetPart.BACK_ENDS) == 3
+    assert view.extent(FleetPart.BACK_ENDS).last_change == 3
     view.take_over(changes(3, back_end("a", 4, removed=True)), "store")
-    assert view.known_through(FleetPart.BACK_ENDS) == 4
+    assert view.extent(FleetPart.BACK_ENDS).last_change == 4
+
+
+def test_progress_goes_on_after_revisions_at_which_nothing_of_the_part_changed() -> None:
+    view = FleetView(ManualClock())
+    read = PartNews(FleetPart.BACK_ENDS, 0, Extent(9, 3), (back_end("a", 3),), is_snapshot=True)
+    view.take_over(read, "store")
+    assert view.extent(FleetPart.BACK_ENDS).last_change == 3
+    view.take_over(PartNews(FleetPart.BACK_ENDS, 9, Extent(12), ()), "store")
+    view.take_over(changes(12, back_end("a", 13, removed=True)), "store")
+    assert view.extent(FleetPart.BACK_ENDS).last_change == 13
 
 
 def test_a_withheld_removal_is_not_claimed_to_be_known() -> None:
@@ -127,18 +148,20 @@
     removal = back_end("a", 4, removed=True)
     view.take_over(changes(3, removal, back_end("b", 5)), "store", lapses=[removal])
     assert set(view.back_ends("search")) == {"a", "b"}
-    assert view.known_through(FleetPart.BACK_ENDS) == 3
+    assert view.extent(FleetPart.BACK_ENDS).last_change == 3
     view.merge([removal], "store")
-    assert view.known_through(FleetPart.BACK_ENDS) == 5
+    assert view.extent(FleetPart.BACK_ENDS).last_change == 5
 
 
 def test_a_daemon_that_may_have_forgotten_removals_tells_all_it_has() -> None:
     restarted = FleetView(ManualClock())
-    restarted.take_over(PartNews(FleetPart.BACK_ENDS, 0, 6, (back_end("b", 6),), 9), "store")
+    restarted.take_over(
+        PartNews(FleetPart.BACK_ENDS, 0, Extent(9, 6), (back_end("b", 6),), True), "store"
+    )
     other = complete_view(back_end("a", 3), back_end("b", 3))
-    other.take_over(restarted.news_after(FleetPart.BACK_ENDS, 3), "peer")
+    other.take_over(restarted.news_for(FleetPart.BACK_ENDS, Extent(3, 3)), "peer")
     assert set(other.back_ends("search")) == {"b"}
-    assert other.known_through(FleetPart.BACK_ENDS) == 6
+    assert other.extent(FleetPart.BACK_ENDS).last_change == 6
 
 
 def route(name: str, host: str, prefix: str, priority: int = 1) -> Route:
--- a/tests/test_view_model.py
+++ b/tests/test_view_model.py
@@ -13,6 +13,7 @@
 from kitekeel_steering.clock import ManualClock
 from kitekeel_steering.fleet_items import (
     BackEndRecord,
+    Extent,
     FleetPart,
     ItemKind,
     PartNews,
@@ -75,11 +76,11 @@
     @rule(daemon=daemon_numbers, part=st.sampled_from(FleetPart), first=st.integers(0, 3))
     def daemon_is_told_changes(self, daemon: int, part: FleetPart, first: int) -> None:
         """A watch goes on from what is known; one that skips changes must not pass for whole."""
-        after = self.views[daemon].known_through(part) + first
+        after = self.views[daemon].extent(part).covered_through + first
         later = [each for each in self.writes if part_of(each.kind) is part]
         items = tuple(each for each in later if each.revision > after)
         if items:
-            news = PartNews(part, after, items[-1].revision, items)
+            news = PartNews(part, after, Extent(self.revision, items[-1].revision), items)
             self.messages[daemon].append(news)
 
     @rule(daemon=daemon_numbers)
@@ -95,8 +96,8 @@
 
     @rule(source=daemon_numbers, asker=daemon_numbers, part=st.sampled_from(FleetPart))
     def daemon_asks_a_peer(self, source: int, asker: int, part: FleetPart) -> None:
-        known_through = self.views[asker].known_through(part)
-        self.messages[asker].append(self.views[source].news_after(part, known_through))
+        known = self.views[asker].extent(part)
+        self.messages[asker].append(self.views[source].news_for(part, known))
 
     @rule(daemon=daemon_numbers, pick=st.integers(0, 100), keep=st.booleans())
     def message_arrives_in_any_order_and_perhaps_again(
@@ -126,7 +127,7 @@
     def _snapshot(self, part: FleetPart) -> PartNews:
         items = self._items_of(part)
         last = max((each.revision for each in items), default=0)
-        return PartNews(part, 0, last, items, snapshot_at=self.revision)
+        return PartNews(part, 0, Extent(self.revision, last), items, is_snapshot=True)
 
     def _deliver(self, daemon: int, news: PartNews) -> None:
         self.views[daemon].take_over(news, "store or peer")
@@ -150,7 +151,7 @@
     @invariant()
     def no_view_claims_more_than_it_knows(self) -> None:
         for view in self.views:
-            known_through = view.known_through(FleetPart.BACK_ENDS)
+            known_through = view.extent(FleetPart.BACK_ENDS).covered_through
             for name in NAMES:
                 self._check_claim(view, name, known_through)
 
