--- a/packages/kitekeel-peers/src/kitekeel_peers/rpc.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/rpc.py
@@ -26,9 +26,9 @@
     ("grpc.so_reuseport", 0),
     ("grpc.max_receive_message_length", _MOST_MESSAGE_BYTES),
 ]
-# grpc gives up opening a connection after this time, whatever the deadline of the call. Opening takes
-# a round trip and the peer's first bytes, 0.17 s between the most distant regions known, and more
-# where the peer is busy. Calls wait no longer than their own deadline.
+# grpc gives up opening a connection after this time, whatever the deadline of the call. Opening
+# takes a round trip and the peer's first bytes, 0.17 s between the most distant regions known, and
+# more where the peer is busy. Calls wait no longer than their own deadline.
 _LEAST_CONNECT_MILLISECONDS = 1000
 _FIRST_RECONNECT_MILLISECONDS = 100
 _LONGEST_RECONNECT_MILLISECONDS = 1000
