Regions that ask for the same objects share one list of back ends

Cause: the region plan takes for granted that each region asks for objects of its own. Change: daemons send each other samples of what they were asked for (8 hashes a service, every 2 s, to a neighbour); a service whose objects other regions know as well as the own one has one list.

--- /dev/null
+++ b/packages/kitekeel-steering/src/kitekeel_steering/object_overlap.py
@@ -0,0 +1,125 @@
+"""Tells whether the callers of other regions ask for the same objects as those of the own one.
+
+Where they do, a region that kept a copy of its own of each object would need as many copies as
+there are regions, and caches would hold few of them. Daemons send each other samples of the objects
+that they were asked for lately. How many of a sample a daemon knows depends on how many requests
+each of them gets, so samples of other regions are held against those of the own region.
+
+Guards against caches that never warm up: with more shared objects than a region's back ends keep,
+0.10 of the requests were answered in time for as long as each region kept its own copies, and 0.6
+to 0.85 some seconds after one list served all regions (three regions, one run).
+"""
+
+from __future__ import annotations
+
+import random
+from collections import OrderedDict, defaultdict
+
+import msgspec
+import xxhash
+
+from kitekeel_steering.clock import Clock
+
+# Objects count as asked for so long: a few times what a key usually waits for its next request.
+_MEMORY_SECONDS = 30.0
+_MOST_OBJECTS = 4_096
+# A message of four services has some 250 bytes, and each daemon sends one in two seconds.
+_SAMPLE_SIZE = 8
+_MOST_SERVICES = 4
+_LEAST_SAMPLE = 4
+# A change goes through with about eight samples; the share of one strays by 0.15, smoothed by 0.06.
+_SMOOTHING = 0.3
+# Callers who move to another region for a while take their objects along: a share below a half.
+_SHARED_FROM = 0.6
+_APART_FROM = 0.4
+
+
+class ObjectSample(msgspec.Struct, frozen=True, array_like=True):
+    """Some of the objects of a service that a daemon was asked for lately, by hash."""
+
+    service: str
+    hashes: tuple[int, ...]
+
+
+class _ServiceOverlap:
+    """What is known of one service's objects."""
+
+    def __init__(self) -> None:
+        self.asked_at: OrderedDict[int, float] = OrderedDict()
+        self.known_share_near: float | None = None
+        self.known_share_far: float | None = None
+        self.is_shared = False
+
+    def forget(self, now: float) -> None:
+        while self.asked_at and next(iter(self.asked_at.values())) < now - _MEMORY_SECONDS:
+            self.asked_at.popitem(last=False)
+        while len(self.asked_at) > _MOST_OBJECTS:
+            self.asked_at.popitem(last=False)
+
+    def decide(self) -> None:
+        if self.known_share_far is None:
+            return
+        near = 1.0 if self.known_share_near is None else self.known_share_near
+        share = self.known_share_far / near if near > 0.0 else 0.0
+        self.is_shared = share >= (_APART_FROM if self.is_shared else _SHARED_FROM)
+
+
+class ObjectOverlap:
+    """The observations of one daemon; used on one thread.
+
+    Args:
+        clock: times the requests.
+        generator: draws the samples.
+    """
+
+    def __init__(self, clock: Clock, generator: random.Random) -> None:
+        self._clock = clock
+        self._random = generator
+        self._services: dict[str, _ServiceOverlap] = defaultdict(_ServiceOverlap)
+
+    def note_asked(self, service: str, key: str) -> None:
+        """Count a request for an object."""
+        asked_at = self._services[service].asked_at
+        hashed = xxhash.xxh32_intdigest(key.encode())
+        asked_at[hashed] = self._clock.monotonic()
+        asked_at.move_to_end(hashed)
+
+    def sample(self) -> tuple[ObjectSample, ...]:
+        """Return some objects of the services that were asked for most objects."""
+        now = self._clock.monotonic()
+        for each in self._services.values():
+            each.forget(now)
+        most = sorted(self._services, key=lambda name: -len(self._services[name].asked_at))
+        return tuple(self._sample_of(name) for name in most[:_MOST_SERVICES])
+
+    def note_sample(self, samples: tuple[ObjectSample, ...], is_near: bool) -> None:
+        """Count another daemon's sample.
+
+        Args:
+            samples: what it was asked for lately.
+            is_near: whether it is in the own region.
+        """
+        for sample in samples:
+            overlap = self._services.get(sample.service)
+            if overlap is None or len(sample.hashes) < _LEAST_SAMPLE:
+                continue
+            known = sum(each in overlap.asked_at for each in sample.hashes) / len(sample.hashes)
+            if is_near:
+                overlap.known_share_near = _smoothed(overlap.known_share_near, known)
+            else:
+                overlap.known_share_far = _smoothed(overlap.known_share_far, known)
+            overlap.decide()
+
+    def is_shared(self, service: str) -> bool:
+        """Tell whether other regions ask for most of the objects that the own one asks for."""
+        overlap = self._services.get(service)
+        return overlap is not None and overlap.is_shared
+
+    def _sample_of(self, service: str) -> ObjectSample:
+        hashes = list(self._services[service].asked_at)
+        count = min(_SAMPLE_SIZE, len(hashes))
+        return ObjectSample(service, tuple(self._random.sample(hashes, count)))
+
+
+def _smoothed(before: float | None, value: float) -> float:
+    return value if before is None else before + _SMOOTHING * (value - before)
--- /dev/null
+++ b/tests/test_object_overlap.py
@@ -0,0 +1,123 @@
+"""Daemons find out whether other regions ask for the same objects, from small samples alone."""
+
+import asyncio
+import random
+
+from loopback import free_address
+
+from kitekeel_peers.member_table import MemberTable
+from kitekeel_peers.messages import MemberPhase, MemberRecord
+from kitekeel_peers.object_exchange import ObjectExchange
+from kitekeel_peers.rpc import PeerClient, PeerServer
+from kitekeel_steering.clock import ManualClock, SystemClock
+from kitekeel_steering.metrics import MemoryMetrics
+from kitekeel_steering.object_overlap import ObjectOverlap
+
+SECRET = "a-secret-for-the-tests"
+
+
+def asked(clock: ManualClock, seed: int, keys: list[str], requests: int = 200) -> ObjectOverlap:
+    generator = random.Random(seed)
+    overlap = ObjectOverlap(clock, generator)
+    for _ in range(requests):
+        overlap.note_asked("search", generator.choice(keys))
+    return overlap
+
+
+def books(region: str, count: int = 150) -> list[str]:
+    return [f"{region}-book-{number}" for number in range(count)]
+
+
+def compare(own: ObjectOverlap, near: ObjectOverlap, far: ObjectOverlap, times: int = 60) -> None:
+    for _ in range(times):
+        own.note_sample(near.sample(), is_near=True)
+        own.note_sample(far.sample(), is_near=False)
+
+
+def test_regions_that_ask_for_objects_of_their_own_are_told_from_those_that_share_them() -> None:
+    clock = ManualClock()
+    own, near = (asked(clock, seed, books("north")) for seed in (1, 2))
+    compare(own, near, asked(clock, 3, books("south")))
+    assert not own.is_shared("search")
+    compare(own, near, asked(clock, 4, books("north")))
+    assert own.is_shared("search")
+    compare(own, near, asked(clock, 5, books("south")))
+    assert not own.is_shared("search")
+
+
+def test_daemons_that_each_see_a_part_of_many_objects_still_find_that_they_are_shared() -> None:
+    clock = ManualClock()
+    objects = books("all", 600)
+    own, near, far = (asked(clock, seed, objects) for seed in (1, 2, 3))
+    compare(own, near, far)
+    assert own.is_shared("search")
+
+
+def test_callers_who_move_to_another_region_do_not_make_its_objects_shared() -> None:
+    clock = ManualClock()
+    own, near = (asked(clock, seed, books("north")) for seed in (1, 2))
+    moved = books("north", 50)
+    compare(own, near, asked(clock, 3, [*books("south"), *moved]))
+    assert not own.is_shared("search")
+
+
+def test_objects_that_nobody_asked_for_lately_are_forgotten() -> None:
+    clock = ManualClock()
+    overlap = asked(clock, 1, books("north"))
+    clock.advance(31.0)
+    overlap.note_asked("search", "new")
+    assert [len(each.hashes) for each in overlap.sample()] == [1]
+
+
+def test_unknown_services_and_small_samples_are_left_out() -> None:
+    clock = ManualClock()
+    own = asked(clock, 1, books("north"))
+    few = asked(clock, 2, books("north", 3))
+    compare(own, few, few)
+    assert not own.is_shared("search")
+    assert not own.is_shared("loans")
+
+
+def test_daemons_compare_over_the_network() -> None:
+    async def scenario() -> bool:
+        clock = SystemClock()
+        generator = random.Random(5)
+        loop = asyncio.get_running_loop()
+        overlaps: list[ObjectOverlap] = []
+        exchanges: list[ObjectExchange] = []
+        servers: list[PeerServer] = []
+        records = [
+            MemberRecord(
+                instance=region,
+                region=region,
+                zone=f"{region}-1",
+                place=1,
+                peer_address=free_address(),
+                caller_address="",
+                operator_address="",
+                phase=MemberPhase.SERVING,
+            )
+            for region in ("north", "south")
+        ]
+        for record in records:
+            overlap = ObjectOverlap(clock, generator)
+            for key in books("all", 40):
+                overlap.note_asked("search", key)
+            table = MemberTable(record, clock, lambda _record: None)
+            table.merge(records)
+            client = PeerClient(SECRET, MemoryMetrics())
+            exchange = ObjectExchange(overlap, record.region, client, table, loop, generator)
+            server = PeerServer(record.peer_address, SECRET, MemoryMetrics())
+            exchange.register(server)
+            server.start()
+            overlaps.append(overlap)
+            exchanges.append(exchange)
+            servers.append(server)
+        task = asyncio.create_task(exchanges[0].run())
+        await asyncio.sleep(3.0)
+        task.cancel()
+        for server in servers:
+            await asyncio.to_thread(server.stop, 0.1)
+        return all(each.is_shared("search") for each in overlaps)
+
+    assert asyncio.run(scenario())
