--- a/packages/kitekeel-steering/src/kitekeel_steering/object_overlap.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/object_overlap.py
@@ -14,6 +14,7 @@
 
 import random
 from collections import OrderedDict, defaultdict
+from collections.abc import Callable
 
 import msgspec
 import xxhash
@@ -56,12 +57,17 @@
         while len(self.asked_at) > _MOST_OBJECTS:
             self.asked_at.popitem(last=False)
 
-    def decide(self) -> None:
-        if self.known_share_far is None:
-            return
+    def note_share(self, known_share: float, is_near: bool) -> None:
+        if is_near:
+            self.known_share_near = _smoothed(self.known_share_near, known_share)
+        else:
+            self.known_share_far = _smoothed(self.known_share_far, known_share)
+
+    def known_share(self) -> float:
+        """Return the part of far objects that is known here, against that of near ones."""
+        far = self.known_share_far or 0.0
         near = 1.0 if self.known_share_near is None else self.known_share_near
-        share = self.known_share_far / near if near > 0.0 else 0.0
-        self.is_shared = share >= (_APART_FROM if self.is_shared else _SHARED_FROM)
+        return far / near if near > 0.0 else 0.0
 
 
 class ObjectOverlap:
@@ -70,9 +76,17 @@
     Args:
         clock: times the requests.
         generator: draws the samples.
+        on_change: called with a service, whether its objects are shared from now on, and the part
+            of other regions' objects that decided it.
     """
 
-    def __init__(self, clock: Clock, generator: random.Random) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        generator: random.Random,
+        on_change: Callable[[str, bool, float], None],
+    ) -> None:
+        self._on_change = on_change
         self._clock = clock
         self._random = generator
         self._services: dict[str, _ServiceOverlap] = defaultdict(_ServiceOverlap)
@@ -104,17 +118,22 @@
             if overlap is None or len(sample.hashes) < _LEAST_SAMPLE:
                 continue
             known = sum(each in overlap.asked_at for each in sample.hashes) / len(sample.hashes)
-            if is_near:
-                overlap.known_share_near = _smoothed(overlap.known_share_near, known)
-            else:
-                overlap.known_share_far = _smoothed(overlap.known_share_far, known)
-            overlap.decide()
+            overlap.note_share(known, is_near)
+            self._decide(sample.service, overlap)
 
     def is_shared(self, service: str) -> bool:
         """Tell whether other regions ask for most of the objects that the own one asks for."""
         overlap = self._services.get(service)
         return overlap is not None and overlap.is_shared
 
+    def _decide(self, service: str, overlap: _ServiceOverlap) -> None:
+        known_share = overlap.known_share()
+        is_shared = known_share >= (_APART_FROM if overlap.is_shared else _SHARED_FROM)
+        if is_shared is overlap.is_shared:
+            return
+        overlap.is_shared = is_shared
+        self._on_change(service, is_shared, known_share)
+
     def _sample_of(self, service: str) -> ObjectSample:
         hashes = list(self._services[service].asked_at)
         count = min(_SAMPLE_SIZE, len(hashes))
--- a/tests/test_object_overlap.py
+++ b/tests/test_object_overlap.py
@@ -18,7 +18,7 @@
 
 def asked(clock: ManualClock, seed: int, keys: list[str], requests: int = 200) -> ObjectOverlap:
     generator = random.Random(seed)
-    overlap = ObjectOverlap(clock, generator)
+    overlap = ObjectOverlap(clock, generator, lambda *_change: None)
     for _ in range(requests):
         overlap.note_asked("search", generator.choice(keys))
     return overlap
@@ -53,6 +53,22 @@
     assert own.is_shared("search")
 
 
+def test_a_change_is_told_once() -> None:
+    told: list[tuple[str, bool]] = []
+    clock = ManualClock()
+    own = ObjectOverlap(
+        clock,
+        random.Random(1),
+        lambda service, is_shared, _share: told.append((service, is_shared)),
+    )
+    for key in books("north"):
+        own.note_asked("search", key)
+    near = asked(clock, 2, books("north"))
+    compare(own, near, asked(clock, 3, books("north")))
+    compare(own, near, asked(clock, 4, books("south")))
+    assert told == [("search", True), ("search", False)]
+
+
 def test_callers_who_move_to_another_region_do_not_make_its_objects_shared() -> None:
     clock = ManualClock()
     own, near = (asked(clock, seed, books("north")) for seed in (1, 2))
@@ -100,7 +116,7 @@
             for region in ("north", "south")
         ]
         for record in records:
-            overlap = ObjectOverlap(clock, generator)
+            overlap = ObjectOverlap(clock, generator, lambda *_change: None)
             for key in books("all", 40):
                 overlap.note_asked("search", key)
             table = MemberTable(record, clock, lambda _record: None)
