The lists of keys use the rendezvous hash that the project has

region_ranking hashed key and name a second time in the very way of rendezvous.weight; it calls that now, and stops at the first back end of the region instead of listing all. No change of behaviour.

--- a/packages/kitekeel-steering/src/kitekeel_steering/region_ranking.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/region_ranking.py
@@ -15,11 +15,12 @@
 from collections.abc import Iterable, Mapping
 
 import msgspec
-import xxhash
 
 from kitekeel_steering.placement_policy import Candidate
+from kitekeel_steering.rendezvous import weight
 
-_HASH_RANGE = float(1 << 64)
+# Rendezvous weights are whole numbers from 0 up to this one.
+_WEIGHT_RANGE = float(1 << 64)
 _LOCAL_SALT = "local"
 
 
@@ -39,10 +40,9 @@
         ranked = sorted(candidates, key=lambda each: _score(key, each), reverse=True)
         if _uniform(key, _LOCAL_SALT) >= self.local_share:
             return tuple(ranked)
-        local = [each for each in ranked if each.region == self.own_region]
-        if not local:
+        first = next((each for each in ranked if each.region == self.own_region), None)
+        if first is None:
             return tuple(ranked)
-        first = local[0]
         return (first, *(each for each in ranked if each is not first))
 
 
@@ -82,4 +82,4 @@
 
 def _uniform(key: str, name: str) -> float:
     """Return a number above 0 and below 1 that depends on both texts alone."""
-    return (int(xxhash.xxh64_intdigest(f"{key}\x00{name}".encode())) + 0.5) / _HASH_RANGE
+    return (weight(key, name) + 0.5) / _WEIGHT_RANGE
