A daemon that never compares keeps a bounded number of objects

Cause: the objects asked for were trimmed only where a sample is drawn, and a daemon that is alone or cut off draws none, so its memory grew with every new object. Ruled out: a bound by time alone, which grows with the rate. The new test failed before (memory after 50,000 objects more than 1.5 times that after 5,000) and passes after. Decisions are the same: a daemon that compares trimmed to the same bound.

--- a/packages/kitekeel-steering/src/kitekeel_steering/object_overlap.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/object_overlap.py
@@ -54,7 +54,11 @@
     def forget(self, now: float) -> None:
         while self.asked_at and next(iter(self.asked_at.values())) < now - _MEMORY_SECONDS:
             self.asked_at.popitem(last=False)
-        while len(self.asked_at) > _MOST_OBJECTS:
+
+    def note_asked(self, hashed: int, now: float) -> None:
+        self.asked_at[hashed] = now
+        self.asked_at.move_to_end(hashed)
+        if len(self.asked_at) > _MOST_OBJECTS:
             self.asked_at.popitem(last=False)
 
     def note_share(self, known_share: float, is_near: bool) -> None:
@@ -93,10 +97,8 @@
 
     def note_asked(self, service: str, key: str) -> None:
         """Count a request for an object."""
-        asked_at = self._services[service].asked_at
         hashed = xxhash.xxh32_intdigest(key.encode())
-        asked_at[hashed] = self._clock.monotonic()
-        asked_at.move_to_end(hashed)
+        self._services[service].note_asked(hashed, self._clock.monotonic())
 
     def sample(self) -> tuple[ObjectSample, ...]:
         """Return some objects of the services that were asked for most objects."""
--- a/tests/test_object_overlap.py
+++ b/tests/test_object_overlap.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import tracemalloc
 
 from loopback import free_address
 
@@ -85,6 +86,20 @@
     assert [len(each.hashes) for each in overlap.sample()] == [1]
 
 
+def test_a_daemon_that_never_compares_keeps_a_bounded_number_of_objects() -> None:
+    """It may be alone, or cut off from all others, for as long as it lives."""
+    overlap = ObjectOverlap(ManualClock(), random.Random(1), lambda *_change: None)
+    tracemalloc.start()
+    for number in range(5_000):
+        overlap.note_asked("search", f"book-{number}")
+    bounded, _ = tracemalloc.get_traced_memory()
+    for number in range(5_000, 50_000):
+        overlap.note_asked("search", f"book-{number}")
+    after_many_more, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert after_many_more < 1.5 * bounded
+
+
 def test_unknown_services_and_small_samples_are_left_out() -> None:
     clock = ManualClock()
     own = asked(clock, 1, books("north"))
