One handler answers peers' calls on the event loop

No change of behaviour: test_object_overlap and test_departures, which call both over the network, pass unchanged.

--- /dev/null
+++ b/packages/kitekeel-peers/src/kitekeel_peers/loop_handler.py
@@ -0,0 +1,29 @@
+"""Answers calls of other daemons on the event loop, which alone touches the state that they read."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any, TypeVar
+
+Request = TypeVar("Request")
+Reply = TypeVar("Reply")
+
+
+def on_event_loop(
+    answer: Callable[[Request], Coroutine[Any, Any, Reply]],
+    loop: asyncio.AbstractEventLoop,
+    timeout_seconds: float,
+) -> Callable[[Request], Reply]:
+    """Return a handler for the peer server's threads.
+
+    Args:
+        answer: runs on the event loop.
+        loop: the event loop.
+        timeout_seconds: longest time that a thread waits for the answer.
+    """
+
+    def handle(request: Request) -> Reply:
+        return asyncio.run_coroutine_threadsafe(answer(request), loop).result(timeout_seconds)
+
+    return handle
--- a/packages/kitekeel-peers/src/kitekeel_peers/object_exchange.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/object_exchange.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from kitekeel_peers.loop_handler import on_event_loop
 from kitekeel_peers.member_table import MemberTable
 from kitekeel_peers.messages import MemberRecord
 from kitekeel_peers.neighbours import neighbours
@@ -65,7 +66,8 @@
 
     def register(self, server: PeerServer) -> None:
         """Serve the method."""
-        server.register(OBJECTS, ObjectsRequest, self._handle)
+        handler = on_event_loop(self._reply, self._loop, _TIMEOUT_SECONDS)
+        server.register(OBJECTS, ObjectsRequest, handler)
 
     async def run(self) -> None:
         """Compare with a random neighbour at each interval, until cancelled."""
@@ -97,11 +99,6 @@
             return
         self._overlap.note_sample(reply.samples, other.region == self._own_region)
 
-    def _handle(self, request: ObjectsRequest) -> ObjectsReply:
-        """Answer on one of the peer server's threads, comparing on the event loop."""
-        answer = asyncio.run_coroutine_threadsafe(self._reply(request), self._loop)
-        return answer.result(_TIMEOUT_SECONDS)
-
     async def _reply(self, request: ObjectsRequest) -> ObjectsReply:
         self._overlap.note_sample(request.samples, request.region == self._own_region)
         return ObjectsReply(self._overlap.sample())
