Tests have one function for free ports, and one way to start a lone daemon

The two tests of requests to reload started and killed their daemon with the same lines; a context manager serves both.

--- a/tests/soak/test_gateway_soak.py
+++ b/tests/soak/test_gateway_soak.py
@@ -1,8 +1,10 @@
 """A short soak of real processes, and the regression cases that soaks have found."""
 
 import asyncio
+import contextlib
 import signal
 import time
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
@@ -25,11 +27,20 @@
     assert not report.breaches, (report.breaches, report.faults)
 
 
-def test_a_request_to_reload_while_a_daemon_starts_does_not_end_it(tmp_path: Path) -> None:
-    daemon = SoakDaemon("g0", "n1", tmp_path)
+@contextlib.contextmanager
+def starting_daemon(folder: Path) -> Iterator[SoakDaemon]:
+    """Start a daemon without a store or others; it is gone afterwards."""
+    daemon = SoakDaemon("g0", "n1", folder)
     daemon.write_settings([], free_address())
     daemon.start(0.0)
     try:
+        yield daemon
+    finally:
+        daemon.send(signal.SIGKILL, 0.0)
+
+
+def test_a_request_to_reload_while_a_daemon_starts_does_not_end_it(tmp_path: Path) -> None:
+    with starting_daemon(tmp_path) as daemon:
         deadline = time.monotonic() + _STARTED_SECONDS
         while not daemon.heeds_reload() and time.monotonic() < deadline:
             time.sleep(0.005)
@@ -37,16 +48,11 @@
         assert not daemon.has_loaded("cygrpc")
         daemon.send(signal.SIGHUP, 0.0)
         assert not asyncio.run(daemon.wait_ended(1.0))
-    finally:
-        daemon.send(signal.SIGKILL, 0.0)
 
 
 def test_a_request_to_reload_while_a_daemon_ends_does_not_cut_its_end(tmp_path: Path) -> None:
     """Found by seed 312; it is not among the seeds above, since it fails only with luck."""
-    daemon = SoakDaemon("g0", "n1", tmp_path)
-    daemon.write_settings([], free_address())
-    daemon.start(0.0)
-    try:
+    with starting_daemon(tmp_path) as daemon:
         deadline = time.monotonic() + _STARTED_SECONDS
         while not daemon.has_logged("daemon-started") and time.monotonic() < deadline:
             time.sleep(0.01)
@@ -55,5 +61,3 @@
             daemon.send(signal.SIGHUP, 0.0)
             time.sleep(0.001)
         assert daemon.exit_status() == 0
-    finally:
-        daemon.send(signal.SIGKILL, 0.0)
--- a/tests/test_gateway_connections.py
+++ b/tests/test_gateway_connections.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 
 import pytest
+from loopback import free_address
 
 from kitekeel_backends.connection_pool import ConnectionLimitError, ConnectionPool
 from kitekeel_backends.http_exchange import OutgoingRequest
@@ -22,12 +23,6 @@
 ID = b"request-id"
 
 
-def free_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 async def serve(script: Script) -> str:
     address = free_address()
     host, port = address.split(":")
