Lines and a metric tell which region a request went to, and why

Change: the policy names what is wrong with the first back end of the key's list; request-sent carries region and cause, kitekeel_placements counts by both, explain shows them. No change of logic.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/request_recorder.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/request_recorder.py
@@ -77,6 +77,7 @@
         if placement.candidate is None:
             return
         instance = placement.candidate.record.instance
+        region = placement.candidate.region
         routed.lines.append(
             RequestSent(
                 request=routed.request_id,
@@ -89,8 +90,11 @@
                 seconds=round(self._clock.monotonic() - sent_at, 3),
                 outcome=result.error or "answered",
                 may_have_run=result.may_have_run,
+                region=region,
+                cause=placement.cause.value,
             )
         )
+        self._metrics.count_placement(region, placement.cause.value)
 
     def note_ended(self, routed: RoutedRequest, outcome: Outcome, reason: str, status: int) -> None:
         """Count a request that has ended, and log its decisions."""
