A stated deadline of any length is a number

Cause: a deadline of 309 digits or more cannot be divided and one of over 4,300 cannot be converted; the error ended the caller's connection without an answer. Found while looking for other decoders that raise errors of their own. Change: one function reads whole numbers of headers, of at most 12 digits.

--- a/packages/kitekeel-callers/src/kitekeel_callers/caller_request.py
+++ b/packages/kitekeel-callers/src/kitekeel_callers/caller_request.py
@@ -15,6 +15,7 @@
     RequestBody,
     end_to_end_headers,
 )
+from kitekeel_steering.stated_numbers import whole_number
 
 SERVICE_PREFIX = "/v1/services/"
 REQUEST_ID = "Kitekeel-Request-Id"
@@ -115,17 +116,18 @@
         raw = _header(environment, DEADLINE)
         if not raw:
             return self._limits.default_deadline_seconds
-        if not raw.isdigit() or int(raw) == 0:
+        milliseconds = whole_number(raw.encode("latin-1", "replace"))
+        if not milliseconds:
             raise BadRequestError(f"{DEADLINE} is a whole number of milliseconds above 0")
-        return min(int(raw) / 1000, self._limits.longest_deadline_seconds)
+        return min(milliseconds / 1000, self._limits.longest_deadline_seconds)
 
     def _body_length(self, environment: Environment) -> int | None:
         if "chunked" in str(environment.get("HTTP_TRANSFER_ENCODING", "")).lower():
             return None
         raw = str(environment.get("CONTENT_LENGTH") or "0")
-        if not raw.isdigit():
+        length = whole_number(raw.encode("latin-1", "replace"))
+        if length is None:
             raise BadRequestError("Content-Length is no number")
-        length = int(raw)
         if length > self._limits.largest_body:
             raise BodyTooLargeError(f"the body may have {self._limits.largest_body} bytes")
         return length
