Records of other writers name no back end to use

Cause: an entry that could not be read was passed over, so the belief before it stayed and was sent requests; a state of an unknown word, null or absent counted as ready; impossible slots, addresses and times were taken; nested values ended in an error that nothing caught and stopped the news of all. Other decoders (store answers, peers' calls) take errors of nesting as their own. An address is an IP number and a port of plain digits.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/fleet_follower.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/fleet_follower.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import random
+from collections import OrderedDict
 from collections.abc import Callable, Coroutine
 
 import msgspec
@@ -15,7 +16,7 @@
 from kitekeel_daemon.decision_log import DecisionLog
 from kitekeel_daemon.gateway_metrics import GatewayMetrics
 from kitekeel_peers.view_exchange import ExchangeListeners, PullResult
-from kitekeel_platform.fleet_store import FleetStore
+from kitekeel_platform.fleet_store import DocumentFinding, FleetStore
 from kitekeel_platform.fleet_sync import FleetSync, SyncListeners, TakenAnswer
 from kitekeel_platform.store_contact import StoreContact
 from kitekeel_platform.store_probe import StoreProbe
@@ -38,6 +39,8 @@
 # How soon a daemon takes up or gives up watching. A change of the member table is seconds old by
 # the time it arrives, so a finer figure would gain nothing.
 _DUTY_SECONDS = 0.1
+# Documents whose finding was told; as many as half of the records of the largest fleet known.
+_MOST_TOLD_FINDINGS = 500
 # A whole read takes some tenths of a second, 0.9 s at most seen on a slow link.
 _STORE_FIRST_SECONDS = 1.0
 
@@ -85,6 +88,7 @@
         self._metrics = metrics
         self._log = log
         generator = random.Random()
+        self._told_findings: OrderedDict[str, int] = OrderedDict()
         self._duty = WatchDuty(clock, generator, role.all_start)
         self._is_watching = False
         self._contact = contact = StoreContact(clock, record_heartbeat_seconds)
@@ -185,9 +189,15 @@
             for each in self._syncs.values():
                 each.restart()
 
-    def _on_finding(self, finding: str) -> None:
+    def _on_finding(self, finding: DocumentFinding) -> None:
+        """Count a document that could not be read, and tell each once; a read finds it again."""
         self._metrics.increment("store.findings")
-        self._log.state(DocumentRejected(finding))
+        if self._told_findings.get(finding.key) == finding.revision:
+            return
+        self._told_findings[finding.key] = finding.revision
+        if len(self._told_findings) > _MOST_TOLD_FINDINGS:
+            self._told_findings.popitem(last=False)
+        self._log.state(DocumentRejected(finding.reason))
 
     def _on_removals_held(self, count: int) -> None:
         self._log.state(RemovalsHeld(count, round(self._view.age_seconds(), 2)))
--- a/packages/kitekeel-peers/src/kitekeel_peers/rpc.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/rpc.py
@@ -144,7 +144,7 @@
     ) -> bytes:
         try:
             return msgspec.msgpack.encode(handler(decoder.decode(payload)))
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
         except KitekeelError as error:
             context.abort(grpc.StatusCode.FAILED_PRECONDITION, error.code)
@@ -186,7 +186,7 @@
         """Call a method of another daemon.
 
         Raises:
-            PeerError: no answer in time, or the daemon refused.
+            PeerError: no answer in time or none that can be read, or the daemon refused.
         """
         payload = msgspec.msgpack.encode(request)
         self._metrics.increment("peers.calls_sent")
@@ -198,7 +198,11 @@
             self._metrics.increment("peers.failures")
             raise PeerError(f"{method} at {address}: {_describe(error)}") from error
         self._metrics.increment("peers.bytes_received", len(raw))
-        return msgspec.msgpack.decode(raw, type=reply_type)
+        try:
+            return msgspec.msgpack.decode(raw, type=reply_type)
+        except (msgspec.MsgspecError, RecursionError) as error:
+            self._metrics.increment("peers.failures")
+            raise PeerError(f"{method} at {address}: {error}") from error
 
     def forget(self, address: str) -> None:
         """Close the channel to an address, as after its daemon's death."""
--- a/packages/kitekeel-steering/src/kitekeel_steering/fleet_items.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/fleet_items.py
@@ -17,10 +17,12 @@
     """A back end as it registered itself.
 
     Attributes:
-        instance: unique for each start of the back end.
+        instance: the name under which it registers; it may start again under the same one.
         slots: requests that it works on at once.
         draining: whether it is about to leave and must get no new work.
         cold_seconds: how much longer it stays cold, counted from when the record was written.
+        started_at_ms: when it started by its own clock, in milliseconds since 1970; 0 where it
+            does not tell. Compared with other starts of the same instance alone.
     """
 
     instance: str
@@ -31,6 +33,7 @@
     draining: bool = False
     cold_seconds: float = 0.0
     version: str = ""
+    started_at_ms: int = 0
 
 
 class ItemKind(enum.IntEnum):
--- a/packages/kitekeel-steering/src/kitekeel_steering/ini.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/ini.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import configparser
+import ipaddress
 import math
 import re
 
@@ -16,6 +17,9 @@
 _SECONDS_BY_UNIT = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0}
 _NAME_PATTERN = re.compile(r"^[a-z0-9][a-z0-9-]{0,62}$")
 _MAXIMUM_PORT = 65535
+_MAXIMUM_OCTET = 255
+# Of a port.
+_MOST_DIGITS = 5
 _TRUE = "true"
 _FLAGS = (_TRUE, "false")
 
@@ -201,12 +205,25 @@
 def is_address(raw: str) -> bool:
     """Tell whether the text is an IP number (v4, or v6 in brackets), a colon and a port."""
     host, _, port = raw.rpartition(":")
-    if not port.isdigit() or not 0 < int(port) <= _MAXIMUM_PORT:
+    if not _is_number(port, _MAXIMUM_PORT) or int(port) == 0:
         return False
     if host.startswith("[") and host.endswith("]"):
-        return ":" in host
+        return _is_ipv6(host[1:-1])
     octets = host.split(".")
-    return len(octets) == 4 and all(part.isdigit() and int(part) < 256 for part in octets)
+    return len(octets) == 4 and all(_is_number(part, _MAXIMUM_OCTET) for part in octets)
+
+
+def _is_number(raw: str, most: int) -> bool:
+    """Tell whether the text is a number of plain digits; others that Python takes are none."""
+    return raw.isascii() and raw.isdigit() and len(raw) <= _MOST_DIGITS and int(raw) <= most
+
+
+def _is_ipv6(raw: str) -> bool:
+    try:
+        ipaddress.IPv6Address(raw)
+    except ValueError:
+        return False
+    return True
 
 
 def _index_lines(text: str) -> dict[tuple[str, str | None], int]:
