A back end that starts again under its name is told apart everywhere

Cause: the name alone was the identity. A daemon that had met another process at a back end's address never used it again; load, failures, silence and warmth of the process that is gone counted for the one that came; requests at the former process waited for their deadline; a late write of it replaced the later record.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/departures.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/departures.py
@@ -35,6 +35,8 @@
         if item.kind is not ItemKind.BACK_END:
             return
         is_leaving = item.removed or (item.back_end is not None and item.back_end.draining)
+        if change.is_restart:
+            self._heard_at.pop(item.name, None)
         if not is_leaving or item.name in self._heard_at:
             return
         self._heard_at[item.name] = change.heard_at
--- a/packages/kitekeel-steering/src/kitekeel_steering/fleet_items.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/fleet_items.py
@@ -35,6 +35,11 @@
     version: str = ""
     started_at_ms: int = 0
 
+    def is_same_process(self, other: BackEndRecord) -> bool:
+        """Tell whether another record of the same name is of the same process, as far as known."""
+        starts = (self.started_at_ms, other.started_at_ms)
+        return starts[0] == starts[1] or 0 in starts
+
 
 class ItemKind(enum.IntEnum):
     """The kinds of beliefs."""
