--- a/tests/soak/gateway_soak.py
+++ b/tests/soak/gateway_soak.py
@@ -61,10 +61,14 @@
     Args:
         folder: for settings and the daemons' logs.
         daemons: how many daemons there are.
+        has_restarts: whether back ends start again under their names and records are spoilt.
     """
 
-    def __init__(self, seed: int, seconds: float, folder: Path, daemons: int) -> None:
+    def __init__(
+        self, seed: int, seconds: float, folder: Path, daemons: int, has_restarts: bool
+    ) -> None:
         self._seed = seed
+        self._has_restarts = has_restarts
         self._daemons = daemons
         self._seconds = seconds
         self._folder = folder
@@ -81,7 +85,7 @@
             await fleet.start()
             callers = self._start_callers(fleet, stop)
             watcher = asyncio.create_task(self._watch_exits(fleet))
-            faults = SoakFaults(fleet, self._random)
+            faults = SoakFaults(fleet, self._random, self._has_restarts)
             await faults.run(self._seconds)
             await fleet.write_records()
             await asyncio.sleep(_SETTLE_SECONDS)
@@ -166,14 +170,25 @@
         )
 
 
-def soak(seed: int, seconds: float, folder: Path, daemons: int = _DAEMONS) -> SoakReport:
+def soak(
+    seed: int,
+    seconds: float,
+    folder: Path,
+    daemons: int = _DAEMONS,
+    has_restarts: bool = False,
+) -> SoakReport:
     """Run one soak and return its report."""
     folder.mkdir(parents=True, exist_ok=True)
-    return asyncio.run(GatewaySoak(seed, seconds, folder, daemons).run())
+    return asyncio.run(GatewaySoak(seed, seconds, folder, daemons, has_restarts).run())
 
 
 def main(
-    *, first_seed: int = 1, seeds: int = 1, seconds: float = 15.0, daemons: int = _DAEMONS
+    *,
+    first_seed: int = 1,
+    seeds: int = 1,
+    seconds: float = 15.0,
+    daemons: int = _DAEMONS,
+    restarts: bool = True,
 ) -> int:
     """Run soaks of several seeds one after the other; the exit status tells of breaches.
 
@@ -181,11 +196,12 @@
     :param seeds: how many.
     :param seconds: how long faults are injected in each.
     :param daemons: how many daemons there are.
+    :param restarts: back ends start again under their names and records are spoilt, too.
     """
     failed = 0
     folder = Path(tempfile.mkdtemp(prefix="gateway-soak-"))
     for seed in range(first_seed, first_seed + seeds):
-        report = soak(seed, seconds, folder / str(seed), daemons)
+        report = soak(seed, seconds, folder / str(seed), daemons, restarts)
         print(
             f"seed {seed}: {report.requests} requests, {report.succeeded:.1%} succeeded, ", end=""
         )
--- a/tests/soak/soak_back_end.py
+++ b/tests/soak/soak_back_end.py
@@ -15,6 +15,7 @@
 SERVICE = "search"
 SLOTS = 6
 _USUAL_SECONDS = 0.03
+_FIRST_START_MS = 1_783_133_796_000
 
 
 class Run(msgspec.Struct, frozen=True):
@@ -32,6 +33,7 @@
         runs: shared by all back ends.
         answers_lost: share of the answers that are lost after the request has run.
         work_factor: how many times as long as usual a request takes.
+        started_at_ms: when its process started, as its record says.
     """
 
     def __init__(self, instance: str, zone: str, address: str, runs: list[Run]) -> None:
@@ -41,6 +43,7 @@
         self.runs = runs
         self.answers_lost = 0.0
         self.work_factor = 1.0
+        self.started_at_ms = _FIRST_START_MS
         self._working = 0
         self._random = random.Random(instance)
 
@@ -48,6 +51,11 @@
         await HttpListener(self.address, self._handle).start()
         return self
 
+    def start_again(self) -> None:
+        """Be another process under the same name; requests under way get no answer."""
+        self.started_at_ms += 1_000
+        self._working = 0
+
     def record(self, address: str, state: str = "ready") -> dict[str, object]:
         """Return the record for the store, with the address under which it is reached."""
         return {
@@ -59,6 +67,7 @@
             "state": state,
             "cold_remaining": "0ms",
             "seq": 1,
+            "born": self.started_at_ms,
         }
 
     async def _handle(self, request: ProxiedRequest) -> ProxiedAnswer:
@@ -73,10 +82,14 @@
         loop = asyncio.get_running_loop()
         self.runs.append(Run(request_id.decode(), self.instance, loop.time()))
         self._working += 1
+        start = self.started_at_ms
         try:
             await asyncio.sleep(self._random.expovariate(1 / _USUAL_SECONDS) * self.work_factor)
         finally:
-            self._working -= 1
+            if start == self.started_at_ms:
+                self._working -= 1
+        if start != self.started_at_ms:
+            raise ConnectionLostError("the process that ran the request is gone")
         if self._random.random() < self.answers_lost:
             raise ConnectionLostError("the answer is lost")
         return own_answer(HTTPStatus.OK, headers, request_id + b" " + request.target)
--- a/tests/soak/soak_faults.py
+++ b/tests/soak/soak_faults.py
@@ -12,13 +12,22 @@
 _LONGEST_FAULT_SECONDS = 3.0
 _LONGEST_PAUSE_SECONDS = 0.8
 
+_SPOILT_RECORDS = (b"", b"\xff\xfe", b"[" * 100_000, b'{"state": "unheard of"}', b"null")
+
 Fault = Callable[[], Awaitable[None]]
 
 
 class SoakFaults:
-    """Injects faults one after the other, each in a task of its own, so that they overlap."""
+    """Injects faults one after the other, each in a task of its own, so that they overlap.
+
+    Args:
+        has_restarts: whether back ends start again under their names and records are spoilt, too.
+            Seeds that once failed without draw the same faults as then.
+    """
 
-    def __init__(self, fleet: SoakFleet, generator: random.Random) -> None:
+    def __init__(
+        self, fleet: SoakFleet, generator: random.Random, has_restarts: bool = False
+    ) -> None:
         self._fleet = fleet
         self._random = generator
         self.told: list[str] = []
@@ -39,6 +48,8 @@
             self._evacuate_zone,
             self._change_configuration,
         ]
+        if has_restarts:
+            self._kinds += [self._restart_back_end, self._spoil_record, self._write_late]
 
     async def run(self, seconds: float) -> None:
         """Inject faults for so long, then wait until each has ended."""
@@ -124,6 +135,30 @@
         await self._pause()
         await self._fleet.write_record(back_end, "ready")
 
+    async def _restart_back_end(self) -> None:
+        back_end = self._random.choice(self._fleet.back_ends)
+        back_end.start_again()
+        await self._fleet.write_record(back_end, "ready")
+
+    async def _spoil_record(self) -> None:
+        back_end = self._random.choice(self._fleet.back_ends)
+        await self._fleet.spoil_record(back_end, self._random.choice(_SPOILT_RECORDS))
+        await self._pause()
+        await self._fleet.write_record(back_end, "ready")
+
+    async def _write_late(self) -> None:
+        """A write of a process that is gone comes to pass after the later one's."""
+        back_end = self._random.choice(self._fleet.back_ends)
+        former = back_end.started_at_ms
+        back_end.start_again()
+        await self._fleet.write_record(back_end, "ready")
+        await self._pause()
+        later, back_end.started_at_ms = back_end.started_at_ms, former
+        await self._fleet.write_record(back_end, "draining")
+        back_end.started_at_ms = max(later, back_end.started_at_ms)
+        await self._pause()
+        await self._fleet.write_record(back_end, "ready")
+
     async def _evacuate_zone(self) -> None:
         await self._fleet.evacuate("n2")
         await self._pause()
--- a/tests/soak/soak_fleet.py
+++ b/tests/soak/soak_fleet.py
@@ -119,6 +119,10 @@
         record = back_end.record(address, state)
         await self.store.put_json(f"servers/{back_end.instance}", record)
 
+    async def spoil_record(self, back_end: SoakBackEnd, value: bytes) -> None:
+        """Leave what another writer might in the place of a back end's record."""
+        await self.store.put(f"servers/{back_end.instance}", value)
+
     async def write_records(self) -> None:
         for back_end in self.back_ends:
             await self.write_record(back_end, self._states.get(back_end.instance, "ready"))
--- a/tests/soak/test_gateway_soak.py
+++ b/tests/soak/test_gateway_soak.py
@@ -33,6 +33,12 @@
     assert not report.breaches, (report.breaches, report.faults)
 
 
+def test_a_short_soak_with_back_ends_that_start_again_breaks_no_promise(tmp_path: Path) -> None:
+    report = soak(5, 8.0, tmp_path, has_restarts=True)
+    assert report.requests > 500
+    assert not report.breaches, (report.breaches, report.faults)
+
+
 @contextlib.contextmanager
 def starting_daemon(folder: Path) -> Iterator[SoakDaemon]:
     """Start a daemon without a store or others; it is gone afterwards."""
