One sample of objects does not decide whether regions share them

Ruled out: a real change, since it went back by the next samples. Change: the shares start from what holds without any sample.

--- a/packages/kitekeel-steering/src/kitekeel_steering/object_overlap.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/object_overlap.py
@@ -49,8 +49,10 @@
 
     def __init__(self) -> None:
         self.asked_at: OrderedDict[int, float] = OrderedDict()
-        self.known_share_near: float | None = None
-        self.known_share_far: float | None = None
+        # As where regions ask for objects of their own: the first sample must not decide alone.
+        # A daemon that had just started took one for a proof and changed its mind for 2.7 s.
+        self.known_share_near = 1.0
+        self.known_share_far = 0.0
         self.is_shared = False
 
     def forget(self, now: float) -> None:
@@ -71,9 +73,8 @@
 
     def known_share(self) -> float:
         """Return the part of far objects that is known here, against that of near ones."""
-        far = self.known_share_far or 0.0
-        near = 1.0 if self.known_share_near is None else self.known_share_near
-        return far / near if near > 0.0 else 0.0
+        near = self.known_share_near
+        return self.known_share_far / near if near > 0.0 else 0.0
 
 
 class ObjectOverlap:
@@ -144,5 +145,5 @@
         return ObjectSample(service, tuple(self._random.sample(hashes, count)))
 
 
-def _smoothed(before: float | None, value: float) -> float:
-    return value if before is None else before + _SMOOTHING * (value - before)
+def _smoothed(before: float, value: float) -> float:
+    return before + _SMOOTHING * (value - before)
