--- a/packages/kitekeel-steering/src/kitekeel_steering/gradual_share.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/gradual_share.py
@@ -2,7 +2,7 @@
 
 What decides how keys are divided among regions moves by steps: counts of daemons and slots,
 observations held against thresholds. A plan that took each step at once would move every key
-concerned at one moment: 0.26 to 0.62 of a region's requests from one window of two seconds to the
+concerned at one moment: 0.28 to 0.63 of a region's requests from one window of two seconds to the
 next (made-up traffic of one region, tests/test_region_moves.py), where callers expect 0.15 at most
 while nothing fails.
 """
