--- a/tests/test_region_moves.py
+++ b/tests/test_region_moves.py
@@ -19,10 +19,11 @@
 """
 
 import random
-from collections import Counter
 from collections.abc import Callable, Iterator, Mapping
 
 import msgspec
+import region_traffic
+from region_traffic import REGIONS, Placed
 
 from kitekeel_steering.affinity_policy import AffinityPolicy
 from kitekeel_steering.back_end_load import BackEndLoad
@@ -30,7 +31,6 @@
 from kitekeel_steering.key_division import RegionObservations
 from kitekeel_steering.placement_policy import Candidate, Candidates, PlacementRequest
 
-REGIONS = ("north", "middle", "south")
 # What the users state for their deployments: part of a region's requests, from one window to the
 # next, and the windows' length.
 MOST_MOVED = 0.15
@@ -43,8 +43,6 @@
 WARM_UP_SECONDS = 3.0
 END_AT = 60.0
 
-Placed = list[tuple[float, str]]
-
 
 def back_ends(
     middle: int = 8, cold_zone: str = "", extra_in_middle: int = 0
@@ -73,11 +71,11 @@
     regions: RegionObservations,
     candidates_at: Callable[[float], Candidates],
     clock: list[float],
-) -> Placed:
+) -> list[Placed]:
     """Place the requests of the middle region's callers; return when each went to which region."""
     generator = random.Random(7)
     daemons = [AffinityPolicy("middle", regions) for _ in range(DAEMONS)]
-    placed: Placed = []
+    placed: list[Placed] = []
     for now, key in requests():
         clock[0] = now
         placement = generator.choice(daemons).choose(
@@ -87,34 +85,20 @@
             lambda candidate: not candidate.is_cold,
         )
         assert placement.candidate is not None
-        placed.append((now, placement.candidate.region))
+        placed.append(Placed(now, "middle", placement.candidate.region))
     return placed
 
 
-def largest_move(placed: Placed) -> float:
+def largest_move(placed: list[Placed]) -> float:
     """Return the largest part of the requests that changed its region between two windows."""
-    largest = 0.0
-    begin = 0.0
-    while begin + 2 * WINDOW_SECONDS <= END_AT:
-        first, second = Counter[str](), Counter[str]()
-        for at, region in placed:
-            if begin <= at < begin + WINDOW_SECONDS:
-                first[region] += 1
-            elif begin + WINDOW_SECONDS <= at < begin + 2 * WINDOW_SECONDS:
-                second[region] += 1
-        gains = [
-            second[region] / second.total() - first[region] / first.total() for region in REGIONS
-        ]
-        largest = max(largest, sum(gain for gain in gains if gain > 0.0))
-        begin += 0.5
-    return largest
+    return region_traffic.largest_move(placed, "middle", 0.0, WINDOW_SECONDS)
 
 
 def constant(candidates: Candidates) -> Callable[[float], Candidates]:
     return lambda _now: candidates
 
 
-def objects_turn_out_to_be_shared_or_no_longer(is_shared_later: bool) -> Placed:
+def objects_turn_out_to_be_shared_or_no_longer(is_shared_later: bool) -> list[Placed]:
     clock = [0.0]
     even = dict.fromkeys(REGIONS, 4.0)
     regions = RegionObservations(
@@ -124,7 +108,7 @@
     return place_all(regions, constant(Candidates(back_ends())), clock)
 
 
-def demand_rises() -> Placed:
+def demand_rises() -> list[Placed]:
     clock = [0.0]
     even = dict.fromkeys(REGIONS, 4.0)
     uneven: Mapping[str, float] = {**even, "middle": 8.0}
@@ -132,7 +116,7 @@
     return place_all(regions, constant(Candidates(back_ends())), clock)
 
 
-def room_is_added() -> Placed:
+def room_is_added() -> list[Placed]:
     clock = [0.0]
     even = dict.fromkeys(REGIONS, 4.0)
     before, after = Candidates(back_ends(middle=2)), Candidates(back_ends(2, extra_in_middle=6))
@@ -143,7 +127,7 @@
     )
 
 
-def cold_back_ends_are_added() -> Placed:
+def cold_back_ends_are_added() -> list[Placed]:
     clock = [0.0]
     even = dict.fromkeys(REGIONS, 4.0)
     before, warm = Candidates(back_ends(middle=2)), back_ends(2, extra_in_middle=6)
@@ -163,7 +147,7 @@
     return place_all(RegionObservations(lambda: even), candidates_at, clock)
 
 
-def a_zone_ends_its_warm_up() -> Placed:
+def a_zone_ends_its_warm_up() -> list[Placed]:
     clock = [0.0]
     even = dict.fromkeys(REGIONS, 4.0)
     cold, warm = Candidates(back_ends(cold_zone="middle-1")), Candidates(back_ends())
@@ -174,7 +158,7 @@
     )
 
 
-CHANGES: dict[str, Callable[[], Placed]] = {
+CHANGES: dict[str, Callable[[], list[Placed]]] = {
     "objects turn out to be shared": lambda: objects_turn_out_to_be_shared_or_no_longer(True),
     "objects are no longer shared": lambda: objects_turn_out_to_be_shared_or_no_longer(False),
     "the region's demand rises": demand_rises,
