--- a/packages/kitekeel-steering/src/kitekeel_steering/region_ranking.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/region_ranking.py
@@ -123,14 +123,6 @@
     return room * (1.0 - demand) / (demand * (1.0 - room))
 
 
-def plan_regions(
-    own_region: str, candidates: Iterable[Candidate], demand_by_region: Mapping[str, float]
-) -> RegionPlan:
-    """Return how keys asked for in one region are divided once nothing changes any more."""
-    room = region_room(own_region, candidates)
-    return RegionPlan(own_region, local_share(room, demand_by_region, own_region))
-
-
 def _score(key: str, candidate: Candidate, factor: float) -> float:
     """Return the score of weighted rendezvous hashing, with slots as weights."""
     uniform = _uniform(key, candidate.record.instance)
--- /dev/null
+++ b/tests/gateway_settings_text.py
@@ -0,0 +1,49 @@
+"""The settings of gateways that tests start, in the form of a settings file."""
+
+import msgspec
+
+
+class GatewayAddresses(msgspec.Struct, frozen=True):
+    """Where a gateway listens, and where it finds its store."""
+
+    callers: str
+    readiness: str
+    lookups: str
+    metrics: str
+    peers: str
+    store: str
+
+
+def gateway_settings_text(
+    name: str,
+    zone: str,
+    zones: str,
+    addresses: GatewayAddresses,
+    seeds: str,
+    secret: str,
+    stop_seconds: float,
+) -> str:
+    """Return the settings of a gateway of the region "north"."""
+    return f"""
+[daemon]
+name = {name}
+region = north
+zone = {zone}
+zones = {zones}
+[addresses]
+callers = {addresses.callers}
+readiness = {addresses.readiness}
+lookups = {addresses.lookups}
+metrics = {addresses.metrics}
+[peers]
+address = {addresses.peers}
+seeds = {seeds}
+secret = {secret}
+[store]
+address = {addresses.store}
+[limits]
+retry_ratio = 0.2
+retry_reserve = 64
+retry_window = 10s
+stop = {stop_seconds:g}s
+"""
--- a/tests/soak/soak_daemon.py
+++ b/tests/soak/soak_daemon.py
@@ -6,6 +6,7 @@
 import subprocess
 from pathlib import Path
 
+from gateway_settings_text import GatewayAddresses, gateway_settings_text
 from loopback import free_address
 
 from kitekeel_lab.child_process import start_python
@@ -42,29 +43,18 @@
         self._process: subprocess.Popen[bytes] | None = None
 
     def write_settings(self, seeds: list[str], store_address: str) -> None:
-        text = f"""
-[daemon]
-name = {self.name}
-region = north
-zone = {self.zone}
-zones = n1:north,n2:north
-[addresses]
-callers = {self.callers}
-readiness = {self.readiness}
-lookups = {self.lookups}
-metrics = {self.metrics}
-[peers]
-address = {self.peers}
-seeds = {",".join(seeds)}
-secret = a-secret-for-the-soak
-[store]
-address = {store_address}
-[limits]
-retry_ratio = 0.2
-retry_reserve = 64
-retry_window = 10s
-stop = {STOP_SECONDS:g}s
-"""
+        addresses = GatewayAddresses(
+            self.callers, self.readiness, self.lookups, self.metrics, self.peers, store_address
+        )
+        text = gateway_settings_text(
+            self.name,
+            self.zone,
+            "n1:north,n2:north",
+            addresses,
+            ",".join(seeds),
+            "a-secret-for-the-soak",
+            STOP_SECONDS,
+        )
         self._settings_file.write_text(text)
 
     def start(self, now: float) -> None:
--- a/tests/test_region_ranking.py
+++ b/tests/test_region_ranking.py
@@ -7,7 +7,7 @@
 from kitekeel_steering.back_end_load import BackEndLoad
 from kitekeel_steering.fleet_items import BackEndRecord
 from kitekeel_steering.placement_policy import Candidate
-from kitekeel_steering.region_ranking import plan_regions
+from kitekeel_steering.region_ranking import RegionPlan, local_share, region_room
 
 EVEN = {"north": 1.0, "middle": 1.0, "south": 1.0}
 KEYS = [f"book-{number}" for number in range(600)]
@@ -25,9 +25,14 @@
     ]
 
 
+def settled_plan(region: str, back_ends: list[Candidate], demand: dict[str, float]) -> RegionPlan:
+    """Return how keys asked for in one region are divided once nothing changes any more."""
+    return RegionPlan(region, local_share(region_room(region, back_ends), demand, region))
+
+
 def firsts(region: str, back_ends: list[Candidate], demand: dict[str, float]) -> dict[str, str]:
     """Return the first back end of each key that is asked for in a region."""
-    plan = plan_regions(region, back_ends, demand)
+    plan = settled_plan(region, back_ends, demand)
     found = {key: plan.rank(f"{region}/{key}", back_ends).first() for key in KEYS}
     return {key: first.record.instance for key, first in found.items() if first is not None}
 
@@ -52,8 +57,8 @@
 def test_a_region_that_asks_for_less_keeps_more_of_its_keys() -> None:
     back_ends = members(north=2, middle=8, south=10)
     quiet_north = {"north": 0.2, "middle": 1.0, "south": 1.0}
-    assert plan_regions("north", back_ends, quiet_north).local_share == 1.0
-    assert plan_regions("north", back_ends, EVEN).local_share < 0.3
+    assert settled_plan("north", back_ends, quiet_north).local_share == 1.0
+    assert settled_plan("north", back_ends, EVEN).local_share < 0.3
 
 
 def test_slots_count_and_not_back_ends() -> None:
