--- a/packages/kitekeel-steering/src/kitekeel_steering/spillover.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/spillover.py
@@ -3,13 +3,13 @@
 Guards against a region whose callers ask for much more than usual for a few seconds: within half a
 second the first back ends of most keys are busy, and every key with a second one elsewhere would
 leave at once, to return as quickly afterwards. 0.28 of the region's requests changed their region
-from one window of two seconds to the next, 0.11 with the bound (four times the usual requests,
+from one window of two seconds to the next, 0.12 with the bound (four times the usual requests,
 tests/test_region_bursts.py), where callers expect 0.15 at most while nothing fails. What may not
 leave waits in the own region as far as that answers in time, or is refused at once.
 
 Each daemon counts its own placements, so that no exchange is needed: where every daemon of a region
 keeps the bound in each window, the region keeps it, and a part that never exceeds the bound cannot
-fall by more than it either.
+fall by more than it either. Daemons with fewer than ten requests in a window may exceed it, by one.
 """
 
 from __future__ import annotations
