--- a/packages/kitekeel-peers/src/kitekeel_peers/member_table.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/member_table.py
@@ -14,6 +14,10 @@
 _MOST_UPDATES_IN_MESSAGE = 20
 _SENDS_FACTOR = 2
 _REMEMBER_GONE_SECONDS = 900.0
+# A member raises its counter with each change of its record and each suspicion, some thousand times
+# at most. Beyond this a record is not a member's own, and its counter could not be refuted: it is
+# sent as 64 bits.
+_MOST_COUNTER = 1 << 32
 
 ChangeListener = Callable[[MemberRecord], None]
 
@@ -137,6 +141,8 @@
                     del self._changed_at[instance]
 
     def _merge_one(self, record: MemberRecord, pass_on: bool) -> bool:
+        if not 0 <= record.counter <= _MOST_COUNTER:
+            return False
         with self._lock:
             if record.instance == self._own_instance:
                 self._refute(record)
--- a/packages/kitekeel-steering/src/kitekeel_steering/events.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/events.py
@@ -14,6 +14,11 @@
 from kitekeel_steering.clock import Clock
 
 _REMEMBERED_EVENTS = 5_000
+# Stamps further ahead of the own clock are not followed: the clocks of machines in use differ by
+# seconds, and one broken daemon's stamp would else be handed on for good. A day, in milliseconds.
+_FARTHEST_AHEAD_MILLISECONDS = 86_400_000
+# A stamp is sent as 64 bits; no daemon sends so many messages in a millisecond.
+_MOST_COUNTER = 1 << 32
 
 
 class Stamp(msgspec.Struct, frozen=True, order=True, array_like=True):
@@ -45,18 +50,30 @@
         return self.observe(Stamp(0, 0))
 
     def observe(self, seen: Stamp) -> Stamp:
-        """Return a stamp later than every earlier one and than the one received."""
+        """Return a stamp later than every earlier one and than the one received.
+
+        A stamp that no daemon with a working clock can have sent is not followed.
+        """
         now = int(self._clock.wall() * 1000)
         with self._lock:
-            newest = max(self._last, seen)
-            self._last = (
-                Stamp(now, 0)
-                if now > newest.milliseconds
-                else Stamp(newest.milliseconds, newest.counter + 1)
-            )
+            newest = max(self._last, seen) if _is_credible(seen, now) else self._last
+            self._last = _later_stamp(newest, now)
             return self._last
 
 
+def _is_credible(seen: Stamp, now_milliseconds: int) -> bool:
+    is_near = seen.milliseconds <= now_milliseconds + _FARTHEST_AHEAD_MILLISECONDS
+    return is_near and seen.counter <= _MOST_COUNTER
+
+
+def _later_stamp(newest: Stamp, now_milliseconds: int) -> Stamp:
+    if now_milliseconds > newest.milliseconds:
+        return Stamp(now_milliseconds, 0)
+    if newest.counter >= _MOST_COUNTER:
+        return Stamp(newest.milliseconds + 1, 0)
+    return Stamp(newest.milliseconds, newest.counter + 1)
+
+
 class EventLog:
     """Keeps the last events of one daemon in memory."""
 
