--- a/packages/kitekeel-peers/src/kitekeel_peers/rpc.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/rpc.py
@@ -42,7 +42,7 @@
 ]
 
 # Guards against a daemon that fills its own network link: a configuration of 1,000 routes takes
-# 199 KB, and telling it to ten others at once would take 1.6 s of the 10 Mbit/s that the smallest
+# 199 KB, and telling it to ten others at once would take 3.2 s of the 5 Mbit/s that the smallest
 # machines have, longer than any of the calls may. Compressed it takes 13 KB and 1 ms of processor
 # time. Messages below this size are sent as they are: heartbeats take a few hundred bytes.
 _COMPRESSED_FROM_BYTES = 4_096
--- a/tests/test_large_messages.py
+++ b/tests/test_large_messages.py
@@ -8,7 +8,7 @@
 began anew with each change. Meanwhile its connections to back ends and its questions to the store
 ran out of time as well, for eight seconds, so that it missed the two configurations that followed.
 
-Cause: the document went out ten times over, 2 MB through a link of 10 Mbit/s.
+Cause: the document went out ten times over, 2 MB through a link of a few Mbit/s.
 
 Evidence: the lines of that daemon on a day that broke twice in two plays: all its calls "News"
 ended with DEADLINE_EXCEEDED from 19.8 to 23.7 s, and every connection that it opened failed.
