--- a/tests/test_large_messages.py
+++ b/tests/test_large_messages.py
@@ -10,9 +10,9 @@
 
 Cause: the document went out ten times over, 2 MB through a link of a few Mbit/s.
 
-Evidence: the lines of that daemon on a day that broke twice in two plays: its calls "News"
-to all ten others ended with DEADLINE_EXCEEDED from 19.7 to 20.4 s, more until 23.7 s, and it ejected
-back end after back end that it could not open a connection to.
+Evidence: the lines of that daemon on a day that broke twice in two plays: its calls "News" to all
+ten others ended with DEADLINE_EXCEEDED from 19.7 to 20.4 s, more until 23.7 s, and it ejected back
+end after back end that it could not open a connection to.
 """
 
 import contextlib
