Phases of kitekeeld's requests are measured from their arrival

Cause: the daemon logged no request, so nobody could tell where a request that was answered too late had spent its time.

Change: the time of arrival is the kernel's (TCP_INFO, time since data last came in), so that the listen backlog and the server's queue count. Each phase (unread, key, slot, exchange, cancel, answer) is counted by classes of its time, and a request that is answered 0.25 s or more after its deadline has a line, 20 a second at most. The budget of lines has a module of its own.

--- a/packages/kitekeel-callers/src/kitekeel_callers/caller_request.py
+++ b/packages/kitekeel-callers/src/kitekeel_callers/caller_request.py
@@ -4,17 +4,20 @@
 
 import re
 import secrets
+import time
 from typing import Any, cast
 from urllib.parse import quote
 
 import msgspec
 
+from kitekeel_callers.arrival import ARRIVED_AT
 from kitekeel_steering.errors import BadRequestError, BodyTooLargeError
 from kitekeel_steering.http_messages import (
     ForwardedRequest,
     RequestBody,
     end_to_end_headers,
 )
+from kitekeel_steering.request_phases import RequestPhases
 from kitekeel_steering.stated_numbers import whole_number
 
 SERVICE_PREFIX = "/v1/services/"
@@ -40,6 +43,7 @@
         deadline_seconds: time the caller gives, from arrival.
         key: the ``Idempotency-Key``, empty for none.
         relayed: another daemon passed it on to this one as its key's home.
+        phases: where its time goes.
     """
 
     service: str
@@ -50,6 +54,7 @@
     repeatable: bool
     relayed: bool
     forwarded: ForwardedRequest
+    phases: RequestPhases
 
 
 class RequestLimits(msgspec.Struct, frozen=True):
@@ -93,6 +98,7 @@
             repeatable=repeatable,
             relayed=bool(_header(environment, RELAYED)),
             forwarded=forwarded,
+            phases=RequestPhases(environment.get(ARRIVED_AT, time.monotonic())),
         )
 
     def _forwarded(self, environment: Environment, method: str, target: str) -> ForwardedRequest:
--- a/packages/kitekeel-callers/src/kitekeel_callers/front.py
+++ b/packages/kitekeel-callers/src/kitekeel_callers/front.py
@@ -10,6 +10,7 @@
 from cheroot import wsgi
 
 from kitekeel_callers.answers import json_answer
+from kitekeel_callers.arrival import ArrivalGateway
 from kitekeel_callers.caller_request import SERVICE_PREFIX, Environment
 from kitekeel_callers.entries import ENTRIES_PATH, EntryLookups
 from kitekeel_callers.intake import Intake, StartResponse
@@ -73,6 +74,7 @@
             accepted_queue_size=limits.queued_connections,
             accepted_queue_timeout=1,
         )
+        self._server.gateway = ArrivalGateway
         self._server.max_request_header_size = limits.largest_header
         self._server.max_request_body_size = limits.largest_body
         self._server.shutdown_timeout = 1
--- a/packages/kitekeel-callers/src/kitekeel_callers/intake.py
+++ b/packages/kitekeel-callers/src/kitekeel_callers/intake.py
@@ -29,6 +29,7 @@
 from kitekeel_steering.http_messages import StreamedAnswer
 from kitekeel_steering.key_table import KeptAnswer
 from kitekeel_steering.metrics import Metrics
+from kitekeel_steering.request_phases import Phase
 
 _OWN_STATUS_HEADER = "Kitekeel-Answer-Status"
 _NOT_KEPT = "answer-not-kept"
@@ -46,6 +47,13 @@
         """Return a back end's answer, or raise why there is none."""
 
 
+class EndedRequests(Protocol):
+    """Takes requests that have ended."""
+
+    def note_ended(self, request: CallerRequest, outcome: str) -> None:
+        """Take a request whose phases have ended, and the outcome that its caller was told."""
+
+
 class Intake:
     """Takes requests, and answers each with its back end's answer or one of its own.
 
@@ -54,6 +62,7 @@
         runner: runs them.
         idempotent: wraps those that may not be repeated.
         metrics: counts outcomes.
+        ended: takes requests that have ended.
         is_leaving: while true, callers are asked to close their connections.
     """
 
@@ -63,12 +72,14 @@
         runner: RequestRunner,
         idempotent: IdempotentRequests,
         metrics: Metrics,
+        ended: EndedRequests,
         is_leaving: Callable[[], bool],
     ) -> None:
         self._reader = reader
         self._runner = runner
         self._idempotent = idempotent
         self._metrics = metrics
+        self._ended = ended
         self._is_leaving = is_leaving
 
     def __call__(self, environment: Environment, start_response: StartResponse) -> Iterable[bytes]:
@@ -78,17 +89,16 @@
             request = self._reader.read(environment)
         except NotRunError as error:
             return self._own(error_answer(error, bool(stated_key(environment))), start_response)
+        request.phases.enter(Phase.KEY)
         try:
             answer = self._run(request)
-        except KeptAnswerError as error:
-            return self._own(_kept_answer(error.answer), start_response)
-        except KitekeelError as error:
-            return self._own(error_answer(error), start_response)
-        try:
+            request.phases.enter(Phase.ANSWER)
             first_piece = next(answer.pieces, b"")
+        except KeptAnswerError as error:
+            return self._own_ended(request, _kept_answer(error.answer), start_response)
         except KitekeelError as error:
-            return self._own(error_answer(error), start_response)
-        return self._streamed(answer, first_piece, start_response)
+            return self._own_ended(request, error_answer(error), start_response)
+        return self._streamed(request, answer, first_piece, start_response)
 
     def _run(self, request: CallerRequest) -> StreamedAnswer:
         deadline = time.monotonic() + request.deadline_seconds
@@ -101,16 +111,26 @@
             raise NoConfigurationError("no configuration is known yet", 1.0)
         return self._runner.run(request, deadline)
 
+    def _own_ended(
+        self, request: CallerRequest, answer: OwnAnswer, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        request.phases.end()
+        self._ended.note_ended(request, _outcome_of(answer))
+        return self._own(answer, start_response)
+
     def _own(self, answer: OwnAnswer, start_response: StartResponse) -> Iterable[bytes]:
         headers = list(answer.headers)
-        outcome = dict(headers).get(OUTCOME_HEADER, ANSWERED)
-        self._metrics.increment(f"requests.{outcome}")
+        self._metrics.increment(f"requests.{_outcome_of(answer)}")
         self._add_close(headers)
         start_response(answer.status_line, headers)
         return [answer.body]
 
     def _streamed(
-        self, answer: StreamedAnswer, first_piece: bytes, start_response: StartResponse
+        self,
+        request: CallerRequest,
+        answer: StreamedAnswer,
+        first_piece: bytes,
+        start_response: StartResponse,
     ) -> Iterable[bytes]:
         headers = list(answer.headers)
         if all(name != OUTCOME_HEADER for name, _ in headers):
@@ -120,7 +140,11 @@
         self._metrics.increment("requests.answered")
         self._add_close(headers)
         start_response(f"{answer.status} {answer.reason}", headers)
-        return _AnswerBody(first_piece, answer.pieces)
+        return _AnswerBody(first_piece, answer.pieces, lambda: self._end_streamed(request))
+
+    def _end_streamed(self, request: CallerRequest) -> None:
+        request.phases.end()
+        self._ended.note_ended(request, ANSWERED)
 
     def _add_close(self, headers: list[tuple[str, str]]) -> None:
         if self._is_leaving():
@@ -134,9 +158,12 @@
     have ended well.
     """
 
-    def __init__(self, first_piece: bytes, pieces: Iterator[bytes]) -> None:
+    def __init__(
+        self, first_piece: bytes, pieces: Iterator[bytes], on_end: Callable[[], None]
+    ) -> None:
         self._first_piece = first_piece
         self._pieces = pieces
+        self._on_end = on_end
 
     def __next__(self) -> bytes:
         if self._first_piece:
@@ -148,10 +175,13 @@
             raise ConnectionResetError(errno.ECONNRESET, error.message) from error
 
     def close(self) -> None:
-        """End the body early, giving back what it holds."""
-        close = getattr(self._pieces, "close", None)
-        if close is not None:
-            close()
+        """End the body, giving back what it holds; called by the server in every case."""
+        try:
+            close = getattr(self._pieces, "close", None)
+            if close is not None:
+                close()
+        finally:
+            self._on_end()
 
 
 class _NotKept(msgspec.Struct, frozen=True):
@@ -162,6 +192,10 @@
     answer_status: int
 
 
+def _outcome_of(answer: OwnAnswer) -> str:
+    return dict(answer.headers).get(OUTCOME_HEADER, ANSWERED)
+
+
 def _kept_answer(answer: KeptAnswer) -> OwnAnswer:
     if answer.body is not None:
         headers = (*answer.headers, (OUTCOME_HEADER, ANSWERED))
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/daemon.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/daemon.py
@@ -21,6 +21,7 @@
 from kitekeel_daemon.homes import HttpRelay, MemberHomes
 from kitekeel_daemon.metrics import StatsdSender
 from kitekeel_daemon.operations import DaemonOperations
+from kitekeel_daemon.phase_report import PhaseReport
 from kitekeel_daemon.pool_exchanges import PoolExchanges
 from kitekeel_daemon.queries import Queries
 from kitekeel_daemon.request_runner import RequestRunner
@@ -173,7 +174,8 @@
         )
         limits = RequestLimits(largest_body=settings.largest_body)
         reader = RequestReader(limits, self.settings.daemon.region)
-        intake = Intake(reader, runner, idempotent, self.metrics, self._is_leaving)
+        report = PhaseReport(self.metrics, self.instance)
+        intake = Intake(reader, runner, idempotent, self.metrics, report, self._is_leaving)
         lookups = EntryLookups(
             self._entry_machines,
             self.membership.table.digest,
--- /dev/null
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/line_budget.py
@@ -0,0 +1,24 @@
+"""Bounds how many log lines a daemon writes in a second."""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+
+
+class LineBudget:
+    """So many lines within any second, wherever the second begins."""
+
+    def __init__(self, per_second: int) -> None:
+        self._per_second = per_second
+        self._taken_at: deque[float] = deque()
+
+    def try_take(self, lines: int, reserved: int = 0) -> bool:
+        """Take lines, leaving so many reserved; tell whether there were enough."""
+        now = time.monotonic()
+        while self._taken_at and self._taken_at[0] <= now - 1.0:
+            self._taken_at.popleft()
+        if len(self._taken_at) + lines > self._per_second - reserved:
+            return False
+        self._taken_at.extend([now] * lines)
+        return True
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/request_runner.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/request_runner.py
@@ -25,6 +25,7 @@
 from kitekeel_steering.http_messages import StreamedAnswer
 from kitekeel_steering.metrics import Metrics
 from kitekeel_steering.model import BackEnd, Configuration, PriorityClass, Service
+from kitekeel_steering.request_phases import Phase
 from kitekeel_steering.retry_budget import RetryBudget
 
 _MOST_TRIES = 3
@@ -138,6 +139,7 @@
             return answer
 
     def _acquire(self, last_hold: SlotHold | None) -> SlotHold:
+        self._request.phases.enter(Phase.SLOT)
         try:
             return self._admission.acquire(
                 self._priority_class.name,
@@ -164,6 +166,7 @@
             self._metrics.increment("requests.grant_ended")
             raise _GrantEndedError("the slot's grant has ended", 1.0)
         self._metrics.increment("requests.sent")
+        self._request.phases.enter(Phase.EXCHANGE)
         try:
             answer = self._forwarder.send(
                 back_end.address,
@@ -197,6 +200,7 @@
         timer.start()
 
     def _cancel(self, back_end: BackEnd) -> bool:
+        self._request.phases.enter(Phase.CANCEL)
         return self._forwarder.cancel(back_end.address, self._request.forwarded.request_id)
 
     def _may_try_again(self, error: KitekeelError, tries: int) -> bool:
