A daemon that is paused when it is told to stop leaves; unknown outcomes have a line

Symptom: SIGTERM to a paused kitekeeld, then SIGCONT: it ran on for good. SIGTERM before the end of its start killed it.

Cause: the main thread waited without a limit, and the signal went to another thread; the handlers were set after the start. The lab's stand-ins had the same wait, and ended by SIGKILL alone, since nobody stopped their servers' threads.

Change: the main thread wakes each half second; handlers come before the start; stand-ins stop their servers. Also a line for each request whose outcome nobody knows, with its cause and which request of its connection it was.

--- a/packages/kitekeel-backends/src/kitekeel_backends/deadline_connection.py
+++ b/packages/kitekeel-backends/src/kitekeel_backends/deadline_connection.py
@@ -55,12 +55,17 @@
     Args:
         address: ``IP:port``.
         deadline: monotonic time of the first exchange.
+
+    Attributes:
+        exchanges: requests that were sent on it; more than one on a kept connection.
+        rests_since: monotonic time since which it has waited for a request.
     """
 
     def __init__(self, address: str, deadline: float) -> None:
         host, _, port = address.rpartition(":")
         super().__init__(host.strip("[]"), int(port))
         self._deadline = deadline
+        self.exchanges = 0
         self.rests_since = time.monotonic()
 
     def connect(self) -> None:
--- a/packages/kitekeel-backends/src/kitekeel_backends/forwarding.py
+++ b/packages/kitekeel-backends/src/kitekeel_backends/forwarding.py
@@ -113,6 +113,7 @@
 ) -> urllib3.BaseHTTPResponse:
     """Send a request on an open connection and return the response once its head is in."""
     remaining = max(0.0, deadline - time.monotonic())
+    connection.exchanges += 1
     try:
         connection.request(
             request.method,
@@ -127,7 +128,7 @@
         return connection.getresponse()
     except _EXCHANGE_ERRORS as error:
         connection.close()
-        raise _sent_failure(error, deadline) from error
+        raise _sent_failure(error, deadline, connection) from error
 
 
 def _headers(request: ForwardedRequest, remaining: float) -> dict[str, str]:
@@ -162,11 +163,14 @@
         raise ConnectionResetError("the caller's body was cut short")
 
 
-def _sent_failure(error: Exception, deadline: float) -> ConnectionBrokenError | DeadlinePassedError:
+def _sent_failure(
+    error: Exception, deadline: float, connection: DeadlineConnection
+) -> ConnectionBrokenError | DeadlinePassedError:
     timed_out = isinstance(error, TimeoutError | urllib3.exceptions.TimeoutError)
     if timed_out or time.monotonic() >= deadline:
-        return DeadlinePassedError("the back end did not answer by the deadline", 1.0)
-    return ConnectionBrokenError("the connection to the back end broke", 1.0)
+        text = f"no answer by the deadline on the connection's request {connection.exchanges}"
+        return DeadlinePassedError(text, 1.0)
+    return ConnectionBrokenError(f"the connection to the back end broke: {error!r}", 1.0)
 
 
 def _answer(response: urllib3.BaseHTTPResponse, pieces: Iterator[bytes]) -> StreamedAnswer:
@@ -207,7 +211,7 @@
             piece = self._response.read1(_PIECE_BYTES, decode_content=False)
         except _EXCHANGE_ERRORS as error:
             self.close()
-            raise _sent_failure(error, self._deadline) from error
+            raise _sent_failure(error, self._deadline, self._connection) from error
         if piece:
             return piece
         self._ended = True
--- a/packages/kitekeel-callers/src/kitekeel_callers/intake.py
+++ b/packages/kitekeel-callers/src/kitekeel_callers/intake.py
@@ -50,8 +50,8 @@
 class EndedRequests(Protocol):
     """Takes requests that have ended."""
 
-    def note_ended(self, request: CallerRequest, outcome: str) -> None:
-        """Take a request whose phases have ended, and the outcome that its caller was told."""
+    def note_ended(self, request: CallerRequest, outcome: str, cause: str) -> None:
+        """Take a request whose phases have ended, what its caller was told, and why."""
 
 
 class Intake:
@@ -95,9 +95,9 @@
             request.phases.enter(Phase.ANSWER)
             first_piece = next(answer.pieces, b"")
         except KeptAnswerError as error:
-            return self._own_ended(request, _kept_answer(error.answer), start_response)
+            return self._own_ended(request, _kept_answer(error.answer), error, start_response)
         except KitekeelError as error:
-            return self._own_ended(request, error_answer(error), start_response)
+            return self._own_ended(request, error_answer(error), error, start_response)
         return self._streamed(request, answer, first_piece, start_response)
 
     def _run(self, request: CallerRequest) -> StreamedAnswer:
@@ -116,10 +116,14 @@
         return self._runner.run(request, deadline)
 
     def _own_ended(
-        self, request: CallerRequest, answer: OwnAnswer, start_response: StartResponse
+        self,
+        request: CallerRequest,
+        answer: OwnAnswer,
+        error: KitekeelError,
+        start_response: StartResponse,
     ) -> Iterable[bytes]:
         request.phases.end()
-        self._ended.note_ended(request, _outcome_of(answer))
+        self._ended.note_ended(request, _outcome_of(answer), f"{error.code}: {error.message}")
         return self._own(answer, start_response)
 
     def _own(self, answer: OwnAnswer, start_response: StartResponse) -> Iterable[bytes]:
@@ -148,7 +152,7 @@
 
     def _end_streamed(self, request: CallerRequest) -> None:
         request.phases.end()
-        self._ended.note_ended(request, ANSWERED)
+        self._ended.note_ended(request, ANSWERED, "")
 
     def _add_close(self, headers: list[tuple[str, str]]) -> None:
         if self._is_leaving():
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/main.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/main.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import signal
 import sys
 from pathlib import Path
 
@@ -11,6 +10,7 @@
 
 from kitekeel_daemon.daemon import Daemon
 from kitekeel_daemon.planned_stop import PlannedStop
+from kitekeel_daemon.process_signals import heed_stop_signals, wait_for_stop
 from kitekeel_steering.errors import KitekeelError
 from kitekeel_steering.findings import FindingsError
 from kitekeel_steering.settings import Settings, parse_settings
@@ -50,12 +50,12 @@
     """
     try:
         daemon = daemon_type(settings)
+        # Before the start: a stop that comes while it joins is carried out as planned after it.
+        heed_stop_signals(daemon.stop_requested)
         daemon.start()
     except (KitekeelError, OSError) as error:
         print(f"cannot start: {error}", file=sys.stderr)
         return _EXIT_FAILED
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: daemon.stop_requested.set())
-    daemon.stop_requested.wait()
+    wait_for_stop(daemon.stop_requested)
     PlannedStop(daemon).run()
     return 0
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/phase_report.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/phase_report.py
@@ -1,4 +1,7 @@
-"""Tells where requests spend their time: counters for all of them, a line for each late one."""
+"""Tells where requests spend their time: counters for all of them, lines for some.
+
+A request has a line if it was answered late, or if nobody knows whether it was run.
+"""
 
 from __future__ import annotations
 
@@ -6,6 +9,7 @@
 
 import eliot
 
+from kitekeel_callers.answers import UNKNOWN
 from kitekeel_callers.caller_request import CallerRequest
 from kitekeel_daemon.line_budget import LineBudget
 from kitekeel_steering.metrics import Metrics
@@ -33,33 +37,37 @@
         self._lines = LineBudget(_LINES_PER_SECOND)
         self._lock = threading.Lock()
 
-    def note_ended(self, request: CallerRequest, outcome: str) -> None:
-        """Count the phases of a request, and write a line if it was answered late.
+    def note_ended(self, request: CallerRequest, outcome: str, cause: str) -> None:
+        """Count the phases of a request, and write a line if it was late or its outcome unknown.
 
         Args:
             request: its phases have ended.
             outcome: what its caller was told.
+            cause: why there was no answer of a back end, empty where there was one.
         """
         for phase, seconds in request.phases.seconds.items():
             self._metrics.increment(f"phases.{phase.value}.{_time_class(seconds)}")
         late = request.phases.total_seconds() - request.deadline_seconds
-        if late <= _TOLERATED_SECONDS:
+        is_late = late > _TOLERATED_SECONDS
+        if is_late:
+            self._metrics.increment("requests.late")
+        if not is_late and outcome != UNKNOWN:
             return
-        self._metrics.increment("requests.late")
         with self._lock:
             may_write = self._lines.try_take(1)
         if may_write:
-            self._write(request, outcome, late)
+            self._write(request, outcome, cause, late)
 
-    def _write(self, request: CallerRequest, outcome: str, late: float) -> None:
+    def _write(self, request: CallerRequest, outcome: str, cause: str, late: float) -> None:
         spent = request.phases.seconds
         eliot.log_message(
-            message_type="request-late",
+            message_type="request-late" if late > _TOLERATED_SECONDS else "request-unknown",
             daemon=self._daemon,
             request_id=request.forwarded.request_id,
             service=request.service,
             class_name=request.class_name,
             outcome=outcome,
+            cause=cause,
             deadline_seconds=request.deadline_seconds,
             late_seconds=round(late, 3),
             phases={each.value: round(spent[each], 3) for each in Phase if each in spent},
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/process_signals.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/process_signals.py
@@ -1,12 +1,33 @@
-"""What signals do to a process that runs one event loop: stop, reload, and nothing at the end."""
+"""What signals do to a process: stop, reload where it can, and nothing at the end.
+
+Python runs a signal's handler on the main thread only, between two of its instructions, while the
+kernel may hand the signal to any thread. An event loop is woken by a descriptor that each signal
+writes to; a main thread that waits otherwise must wake by itself from time to time.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import signal
+import threading
 from collections.abc import Callable
 
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+# A daemon that was paused while it was told to stop never left without this; one that leaves
+# 0.5 s later does so within what callers and other daemons are given to hear of it.
+_WAKE_SECONDS = 0.5
+
+
+def heed_stop_signals(stop_requested: threading.Event) -> None:
+    """Have SIGTERM and SIGINT set an event; called on the main thread."""
+    for number in _STOP_SIGNALS:
+        signal.signal(number, lambda *_: stop_requested.set())
+
+
+def wait_for_stop(stop_requested: threading.Event) -> None:
+    """Wait on the main thread until the event is set, by a signal or otherwise."""
+    while not stop_requested.wait(_WAKE_SECONDS):
+        continue
 
 
 class ProcessSignals:
--- a/packages/kitekeel-lab/src/kitekeel_lab/back_end_server.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/back_end_server.py
@@ -187,6 +187,11 @@
         for name in self._stand_ins:
             self._start(name)
 
+    def stop(self) -> None:
+        """Stop every server."""
+        while self._servers:
+            self._servers.popitem()[1].stop()
+
     def __call__(self, environment: Environment, start_response: StartResponse) -> Iterable[bytes]:
         """Answer a control call: records, faults, stop and start of one server."""
         path = str(environment["PATH_INFO"])
@@ -215,13 +220,28 @@
             self._stand_ins[name].faults = order.faults
 
 
-def serve_back_ends(specs: Iterable[BackEndSpec], control_address: str, seed: int) -> HttpServer:
+class BackEndServers:
+    """The servers of one process: the stand-ins and their control."""
+
+    def __init__(self, farm: BackEndFarm, control: HttpServer) -> None:
+        self._farm = farm
+        self._control = control
+
+    def stop(self) -> None:
+        """Stop all of them."""
+        self._control.stop()
+        self._farm.stop()
+
+
+def serve_back_ends(
+    specs: Iterable[BackEndSpec], control_address: str, seed: int
+) -> BackEndServers:
     """Start stand-ins and their control."""
     farm = BackEndFarm(specs, seed)
     farm.start()
     control = HttpServer(control_address, farm, ServerLimits(threads=4))
     control.start()
-    return control
+    return BackEndServers(farm, control)
 
 
 def _send(answer: OwnAnswer, start_response: StartResponse) -> Iterable[bytes]:
--- a/packages/kitekeel-lab/src/kitekeel_lab/cli.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/cli.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
-import signal
 import sys
 import threading
 from collections.abc import Callable
 from pathlib import Path
+from typing import Protocol
 
 import defopt
 import msgspec
 
+from kitekeel_daemon.process_signals import heed_stop_signals, wait_for_stop
 from kitekeel_lab.back_end_messages import BackEndSpec
 from kitekeel_lab.back_end_server import serve_back_ends
 from kitekeel_lab.bench import measure_lookup, measure_overhead
@@ -38,6 +39,13 @@
 }
 
 
+class _Stoppable(Protocol):
+    """A server, or several."""
+
+    def stop(self) -> None:
+        """Stop listening and end the threads, without which the process does not end."""
+
+
 def platform(address: str) -> int:
     """Run the platform stand-in until told to end.
 
@@ -190,13 +198,12 @@
     return 0 if getattr(report, "held", True) else 1
 
 
-def _serve_until_told(start: Callable[[], object]) -> int:
+def _serve_until_told(start: Callable[[], _Stoppable]) -> int:
     told = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: told.set())
+    heed_stop_signals(told)
     server = start()
-    told.wait()
-    del server
+    wait_for_stop(told)
+    server.stop()
     return 0
 
 
--- a/tests/test_request_phases.py
+++ b/tests/test_request_phases.py
@@ -79,7 +79,7 @@
         for seconds_ago in (0.05, 2.0):
             request = request_that_arrived(seconds_ago, 1000)
             request.phases.end()
-            report.note_ended(request, "answered")
+            report.note_ended(request, "answered", "")
     finally:
         eliot.remove_destination(lines.append)
     counts = metrics.snapshot()
@@ -92,6 +92,23 @@
     assert line["late_seconds"] == pytest.approx(1.0, abs=0.1)
 
 
+def test_a_request_whose_outcome_is_unknown_has_a_line_with_its_cause() -> None:
+    report = PhaseReport(MemoryMetrics(), "d1")
+    lines: list[dict[str, object]] = []
+    eliot.add_destinations(lines.append)
+    lines.clear()
+    try:
+        request = request_that_arrived(0.1, 1000)
+        request.phases.end()
+        report.note_ended(request, "unknown", "connection-broken: reset")
+        report.note_ended(request, "not-run", "no-room: full")
+    finally:
+        eliot.remove_destination(lines.append)
+    (line,) = lines
+    assert line["message_type"] == "request-unknown"
+    assert line["cause"] == "connection-broken: reset"
+
+
 def test_lines_of_late_requests_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
     now = time.monotonic()
     monkeypatch.setattr("kitekeel_daemon.line_budget.time.monotonic", lambda: now)
@@ -104,7 +121,7 @@
         for _ in range(50):
             request = request_that_arrived(2.0, 1000)
             request.phases.end()
-            report.note_ended(request, "answered")
+            report.note_ended(request, "answered", "")
     finally:
         eliot.remove_destination(lines.append)
     assert metrics.snapshot()["requests.late"] == 50
