Answers that cannot be read are errors with a code, and end no thread

Symptom: a bare DecodeError of the operators' client; by reading, the threads that follow the configuration, the machine list and other daemons' configurations ended for good with the first document that could not be read.

Change: the operators' client raises UnreadableReplyError, which counts as 'no daemon answers'; the platform's client raises PlatformAnswerError, and why the platform cannot be used is recorded once until it changes; a peer's unreadable document is recorded.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/daemon.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/daemon.py
@@ -85,6 +85,7 @@
         self._pulls: queue.SimpleQueue[str] = queue.SimpleQueue()
         self._machine_list = MachineList()
         self._member_states: dict[str, str] = {}
+        self._platform_failure = ""
         self._make_platform()
         self._make_peers(hybrid_clock)
         self._make_steering()
@@ -129,7 +130,11 @@
         )
         self.peer_client = PeerClient(settings.peers.secret, self.metrics, tls)
         self.spread = ConfigurationSpread(
-            self.peer_client, settings.peers.advertised, self.instance, self._on_configuration
+            self.peer_client,
+            settings.peers.advertised,
+            self.instance,
+            self._on_configuration,
+            lambda cause: self.recorder.add("peer-document-unreadable", cause),
         )
         self.membership = Membership(
             self._own_record(),
@@ -225,10 +230,18 @@
 
     def _loops(self) -> list[Loop]:
         watch = ConfigurationWatch(
-            self._store, self.spread.revision, self._adopt, self._is_zone_watcher
+            self._store,
+            self.spread.revision,
+            self._adopt,
+            self._is_zone_watcher,
+            self._note_platform_failure,
         )
         machine_poll = MachineListPoll(
-            self._platform, _MACHINE_LIST_SECONDS, self._on_machine_list, self._polls_machines
+            self._platform,
+            _MACHINE_LIST_SECONDS,
+            self._on_machine_list,
+            self._polls_machines,
+            self._note_platform_failure,
         )
         probes = LoadProbes(self._probe_targets, self.keeper.note_report, self.keeper.note_refused)
         sender = StatsdSender(self.metrics, self.settings.metrics, self.settings.daemon.name)
@@ -254,7 +267,7 @@
         try:
             self._adopt(self._store.load())
         except PlatformError as error:
-            self.recorder.add("platform-unavailable", error.message)
+            self._note_platform_failure(error)
 
     def _adopt(self, configuration: Configuration) -> None:
         self.spread.adopt(configuration)
@@ -281,10 +294,17 @@
         try:
             self._on_machine_list(self._platform.machines())
         except PlatformError as error:
+            self._note_platform_failure(error)
+
+    def _note_platform_failure(self, error: PlatformError) -> None:
+        """Record why the platform cannot be used, once until the reason changes."""
+        if error.message != self._platform_failure:
+            self._platform_failure = error.message
             self.recorder.add("platform-unavailable", error.message)
 
     def _on_machine_list(self, machine_list: MachineList) -> None:
         self._machine_list = machine_list
+        self._platform_failure = ""
         self.keeper.set_leaving(
             frozenset(
                 each.address
--- a/packages/kitekeel-lab/src/kitekeel_lab/hollow_daemon.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/hollow_daemon.py
@@ -74,7 +74,11 @@
         self._server = PeerServer(spec.peer_address, PEER_SECRET, self._metrics, None, workers)
         self._client = PeerClient(PEER_SECRET, self._metrics)
         self._spread = ConfigurationSpread(
-            self._client, spec.peer_address, self.instance, self._on_configuration
+            self._client,
+            spec.peer_address,
+            self.instance,
+            self._on_configuration,
+            lambda _cause: self._metrics.increment("peers.unreadable_documents"),
         )
         self._membership = Membership(
             self._record(),
--- a/packages/kitekeel-operators/src/kitekeel_operators/client.py
+++ b/packages/kitekeel-operators/src/kitekeel_operators/client.py
@@ -29,6 +29,15 @@
     code = "daemon-unreachable"
 
 
+class UnreadableReplyError(DaemonUnreachableError):
+    """Something answers at the address, but not with a document of the operators' interface.
+
+    A daemon that is just starting does so, whose server has no thread for the call yet.
+    """
+
+    code = "unreadable-reply"
+
+
 class OperatorRefusedError(KitekeelError):
     """The daemon refused; its code and message are given."""
 
@@ -87,5 +96,12 @@
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise DaemonUnreachableError(f"no daemon answers at {self._base}") from error
         if response.status != _OK:
-            raise OperatorRefusedError(msgspec.json.decode(response.data, type=FailureReply))
-        return msgspec.json.decode(response.data, type=reply_type)
+            raise OperatorRefusedError(self._decode(response, FailureReply))
+        return self._decode(response, reply_type)
+
+    def _decode(self, response: urllib3.BaseHTTPResponse, reply_type: type[Reply]) -> Reply:
+        try:
+            return msgspec.json.decode(response.data, type=reply_type)
+        except msgspec.MsgspecError as error:
+            text = f"what answers at {self._base} with status {response.status} is not readable"
+            raise UnreadableReplyError(f"{text}: {error}") from error
--- a/packages/kitekeel-peers/src/kitekeel_peers/configuration_spread.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/configuration_spread.py
@@ -42,6 +42,8 @@
         own_address: where this daemon's document can be pulled.
         own_instance: this daemon's instance, for confirmations.
         on_adopt: called with each configuration that comes into force here.
+        on_unreadable: told of a daemon's document that cannot be read, and why; the present
+            configuration stays in force.
     """
 
     def __init__(
@@ -50,11 +52,13 @@
         own_address: str,
         own_instance: str,
         on_adopt: Callable[[Configuration], None],
+        on_unreadable: Callable[[str], None],
     ) -> None:
         self._client = client
         self._own_address = own_address
         self._own_instance = own_instance
         self._on_adopt = on_adopt
+        self._on_unreadable = on_unreadable
         self._lock = threading.Lock()
         self._current = Configuration()
         self._document = encode_configuration(self._current)
@@ -95,7 +99,11 @@
             return False
         if not reply.document:
             return False
-        configuration = decode_configuration(reply.document)
+        try:
+            configuration = decode_configuration(reply.document)
+        except (msgspec.MsgspecError, RecursionError) as error:
+            self._on_unreadable(f"configuration of {address}: {error}")
+            return False
         return self.adopt(msgspec.structs.replace(configuration, revision=reply.revision))
 
     def spread(self, targets: Sequence[SpreadTarget], seconds: float) -> set[str]:
--- a/packages/kitekeel-platform/src/kitekeel_platform/client.py
+++ b/packages/kitekeel-platform/src/kitekeel_platform/client.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from typing import TypeVar
 from urllib.parse import quote, urlencode
 
 import msgspec
@@ -16,12 +17,15 @@
 
 from kitekeel_platform.rate_budget import RateBudget
 from kitekeel_steering.errors import (
+    PlatformAnswerError,
     PlatformBudgetError,
     PlatformUnavailableError,
     WriteOutcomeUnknownError,
 )
 from kitekeel_steering.metrics import Metrics
 
+Document = TypeVar("Document")
+
 _CONNECTIONS = 8
 _WATCH_MARGIN_SECONDS = 2.0
 _OK = 200
@@ -95,6 +99,7 @@
 
         Raises:
             PlatformUnavailableError: no answer.
+            PlatformAnswerError: an answer that cannot be read.
             PlatformBudgetError: the budget is used up.
         """
         query = urlencode({"after": after, "wait": wait_seconds})
@@ -136,17 +141,21 @@
             raise PlatformUnavailableError("the platform limits our rate", _retry_after(response))
         if response.status >= _FIRST_SERVER_ERROR:
             raise WriteOutcomeUnknownError(f"the platform answered {response.status} to a write")
-        return int(response.headers["Version"])
+        version = _version(response)
+        if version is None:
+            raise WriteOutcomeUnknownError("the platform answered a write without a version")
+        return version
 
     def machines(self) -> MachineList:
         """Return the machine list.
 
         Raises:
             PlatformUnavailableError: no answer.
+            PlatformAnswerError: an answer that cannot be read.
             PlatformBudgetError: the budget is used up.
         """
         response = self._read("/machines", self._timeout_seconds)
-        return msgspec.json.decode(response.data, type=MachineList)
+        return read_document(response.data, MachineList)
 
     def _read(self, path: str, timeout_seconds: float) -> urllib3.BaseHTTPResponse:
         self._take_from_budget()
@@ -168,8 +177,29 @@
         self._metrics.increment("platform.calls")
 
 
+def read_document(document: bytes, document_type: type[Document]) -> Document:
+    """Return a JSON document of the platform.
+
+    Raises:
+        PlatformAnswerError: it does not have the form of its type.
+    """
+    try:
+        return msgspec.json.decode(document, type=document_type)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        text = f"a document of the platform is no {document_type.__name__}: {error}"
+        raise PlatformAnswerError(text) from error
+
+
 def _versioned(response: urllib3.BaseHTTPResponse) -> VersionedValue:
-    return VersionedValue(int(response.headers["Version"]), response.data)
+    version = _version(response)
+    if version is None:
+        raise PlatformAnswerError("the platform answered a read without a version")
+    return VersionedValue(version, response.data)
+
+
+def _version(response: urllib3.BaseHTTPResponse) -> int | None:
+    stated = response.headers.get("Version", "")
+    return int(stated) if stated.isdecimal() else None
 
 
 def _retry_after(response: urllib3.BaseHTTPResponse) -> float:
--- a/packages/kitekeel-platform/src/kitekeel_platform/configuration_store.py
+++ b/packages/kitekeel-platform/src/kitekeel_platform/configuration_store.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from kitekeel_platform.client import PlatformClient, VersionedValue
+from kitekeel_platform.client import PlatformClient, VersionedValue, read_document
 from kitekeel_steering.errors import (
     ConfigurationConflictError,
     ConfigurationOutcomeUnknownError,
@@ -26,7 +26,6 @@
     REMEMBERED_COMMANDS,
     CommandRecord,
     Configuration,
-    decode_configuration,
     encode_configuration,
 )
 
@@ -125,7 +124,7 @@
 def _decode(found: VersionedValue) -> Configuration:
     if found.version == 0:
         return Configuration()
-    configuration = decode_configuration(found.value)
+    configuration = read_document(found.value, Configuration)
     return msgspec.structs.replace(configuration, revision=found.version)
 
 
--- a/packages/kitekeel-platform/src/kitekeel_platform/key_claims.py
+++ b/packages/kitekeel-platform/src/kitekeel_platform/key_claims.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from kitekeel_platform.client import PlatformClient
+from kitekeel_platform.client import PlatformClient, read_document
 from kitekeel_steering.errors import (
     ClaimFailedError,
     PlatformError,
@@ -65,10 +65,10 @@
         for _ in range(_READ_BACK_TRIES):
             try:
                 found = self._client.read(name)
+                if found.version:
+                    return read_document(found.value, KeyClaim).instance
             except PlatformError:
                 continue
-            if found.version:
-                return msgspec.json.decode(found.value, type=KeyClaim).instance
         # With no claim to be read, the lost write may still take effect. It then names this
         # instance, which has not begun the key, so refusing it as not run is true.
         raise ClaimFailedError("the platform does not tell who claimed the key", 1.0)
--- a/packages/kitekeel-platform/src/kitekeel_platform/watchers.py
+++ b/packages/kitekeel-platform/src/kitekeel_platform/watchers.py
@@ -28,6 +28,7 @@
         revision: returns the revision this daemon already has.
         on_change: receives a later one.
         is_watcher: tells whether this daemon is to watch at present.
+        on_failure: told why the platform could not be asked or read; the former beliefs hold.
     """
 
     def __init__(
@@ -36,11 +37,13 @@
         revision: Callable[[], int],
         on_change: Callable[[Configuration], None],
         is_watcher: Callable[[], bool],
+        on_failure: Callable[[PlatformError], None],
     ) -> None:
         self._store = store
         self._revision = revision
         self._on_change = on_change
         self._is_watcher = is_watcher
+        self._on_failure = on_failure
 
     def run(self, stop: threading.Event) -> None:
         """Watch until told to stop, slower while the platform does not answer."""
@@ -54,7 +57,8 @@
                 pause = _FIRST_PAUSE_SECONDS
                 if found is not None:
                     self._on_change(found)
-            except PlatformError:
+            except PlatformError as error:
+                self._on_failure(error)
                 stop.wait(pause)
                 pause = min(_LONGEST_PAUSE_SECONDS, 2 * pause)
 
@@ -68,11 +72,13 @@
         interval_seconds: float,
         on_list: Callable[[MachineList], None],
         is_watcher: Callable[[], bool],
+        on_failure: Callable[[PlatformError], None],
     ) -> None:
         self._client = client
         self._interval_seconds = interval_seconds
         self._on_list = on_list
         self._is_watcher = is_watcher
+        self._on_failure = on_failure
 
     def run(self, stop: threading.Event) -> None:
         """Poll until told to stop; a failed poll changes nothing."""
@@ -80,6 +86,6 @@
             if self._is_watcher():
                 try:
                     self._on_list(self._client.machines())
-                except PlatformError:
-                    pass
+                except PlatformError as error:
+                    self._on_failure(error)
             stop.wait(self._interval_seconds)
--- a/packages/kitekeel-steering/src/kitekeel_steering/errors.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/errors.py
@@ -180,6 +180,12 @@
     code = "platform-unavailable"
 
 
+class PlatformAnswerError(PlatformError):
+    """The platform's service answered something that cannot be read; the former beliefs hold."""
+
+    code = "platform-answer-unreadable"
+
+
 class PlatformBudgetError(PlatformError):
     """The daemon's own rate budget for platform calls is used up; nothing was sent."""
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -3,6 +3,7 @@
 import threading
 
 import msgspec
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -26,7 +27,11 @@
 def test_a_daemon_never_goes_to_a_lower_revision_whatever_arrives_at_once() -> None:
     adopted: list[int] = []
     spread = ConfigurationSpread(
-        PeerClient("secret", MemoryMetrics()), "p", "i", lambda each: adopted.append(each.revision)
+        PeerClient("secret", MemoryMetrics()),
+        "p",
+        "i",
+        lambda each: adopted.append(each.revision),
+        pytest.fail,
     )
     threads = [
         threading.Thread(target=spread.adopt, args=(Configuration(revision=number % 50 + 1),))
--- a/tests/test_unreadable_answers.py
+++ b/tests/test_unreadable_answers.py
@@ -14,6 +14,7 @@
 import threading
 import time
 from collections.abc import Iterable, Iterator
+from typing import cast
 
 import pytest
 from loopback import free_address
@@ -22,6 +23,9 @@
 from kitekeel_callers.front import HttpServer, ServerLimits
 from kitekeel_callers.intake import StartResponse
 from kitekeel_operators.client import DaemonUnreachableError, OperatorClient
+from kitekeel_peers.configuration_spread import ConfigurationSpread
+from kitekeel_peers.messages import PullReply
+from kitekeel_peers.rpc import PeerClient
 from kitekeel_platform.client import MachineList, PlatformClient
 from kitekeel_platform.configuration_store import ConfigurationStore
 from kitekeel_platform.key_claims import KeyClaims
@@ -110,10 +114,11 @@
 def test_the_watch_of_the_configuration_outlives_an_unreadable_one() -> None:
     answers = Answers("200 OK", b"no document", VERSION)
     adopted: list[Configuration] = []
+    failures: list[PlatformError] = []
     stop = threading.Event()
     with server_of(answers) as address:
         store = ConfigurationStore(platform_client(address))
-        watch = ConfigurationWatch(store, lambda: 1, adopted.append, lambda: True)
+        watch = ConfigurationWatch(store, lambda: 1, adopted.append, lambda: True, failures.append)
         thread = threading.Thread(target=watch.run, args=(stop,))
         thread.start()
         time.sleep(0.3)
@@ -124,14 +129,18 @@
         stop.set()
         thread.join()
     assert adopted
+    assert failures
 
 
 def test_the_poll_of_the_machine_list_outlives_an_unreadable_one() -> None:
     answers = Answers("200 OK", b"no document")
     lists: list[MachineList] = []
+    failures: list[PlatformError] = []
     stop = threading.Event()
     with server_of(answers) as address:
-        poll = MachineListPoll(platform_client(address), 0.05, lists.append, lambda: True)
+        poll = MachineListPoll(
+            platform_client(address), 0.05, lists.append, lambda: True, failures.append
+        )
         thread = threading.Thread(target=poll.run, args=(stop,))
         thread.start()
         time.sleep(0.3)
@@ -142,3 +151,23 @@
         stop.set()
         thread.join()
     assert lists
+    assert failures
+
+
+class OtherDaemon:
+    """Answers each pull with the same document."""
+
+    def __init__(self, document: bytes) -> None:
+        self._document = document
+
+    def call(self, *_arguments: object) -> PullReply:
+        return PullReply(9, self._document)
+
+
+def test_a_configuration_of_another_daemon_that_cannot_be_read_changes_nothing() -> None:
+    causes: list[str] = []
+    client = cast(PeerClient, OtherDaemon(b"\xff"))
+    spread = ConfigurationSpread(client, "p", "d1", lambda _: None, causes.append)
+    assert not spread.pull("10.0.0.1:1")
+    assert spread.revision() == 0
+    assert "10.0.0.1:1" in causes[0]
