--- a/packages/kitekeel-callers/src/kitekeel_callers/kept_connection.py
+++ b/packages/kitekeel-callers/src/kitekeel_callers/kept_connection.py
@@ -20,7 +20,7 @@
     def communicate(self) -> bool:
         """Serve the requests at hand; called by the server's threads."""
         self._is_idle = False
-        is_kept = bool(super().communicate())
+        is_kept = bool(super().communicate())  # type: ignore[no-untyped-call]
         self._is_idle = is_kept
         return is_kept
 
