The test of a process that is gone does not depend on where requests are placed

Change: requests come until one hangs at the first back end; the checks of those that hang are the same, and that one such request hangs is now asserted.

--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -165,6 +165,12 @@
 
 
 def test_requests_at_the_process_that_is_gone_end_at_once_and_truly() -> None:
+    """Requests come in pairs until one that may not be repeated hangs at the first back end.
+
+    Which back end a request goes to is drawn: of 200 runs with four such requests on four loaded
+    cores, 7 had all four at the other one.
+    """
+
     async def scenario() -> None:
         store, back_ends = await fleet()
         for each in back_ends:
@@ -175,25 +181,25 @@
         first, second = back_ends
         first.seconds = 20.0
         second.seconds = 0.0
-        asked_at = time.monotonic()
-        asking = [
-            asyncio.create_task(ask(gateway.callers, f"/{route}/x", f"{route}{number}"))
-            for number in range(4)
-            for route in ("unsafe", "safe")
-        ]
-        assert await until(lambda: any(each.startswith("unsafe") for each in first.ran), 1.0)
+        asking: dict[str, asyncio.Task[tuple[int, dict[str, str], str]]] = {}
+        for number in range(30):
+            asked_at = time.monotonic()
+            for route in ("unsafe", "safe"):
+                request_id = f"{route}{number}"
+                asking[request_id] = asyncio.create_task(
+                    ask(gateway.callers, f"/{route}/x", request_id)
+                )
+            if await until(lambda: any(each.startswith("unsafe") for each in first.ran), 0.1):
+                break
         await asyncio.sleep(0.2)
         hung = [each for each in first.ran if not each.startswith("w")]
+        assert any(each.startswith("unsafe") for each in hung)
         await store.put_back_end(restarted(first.record, SECOND_MS))
-        answers = await asyncio.gather(*asking)
+        await asyncio.wait(asking.values())
         assert time.monotonic() - asked_at < 1.8
-        by_id = {
-            f"{route}{number}": answers[2 * number + index][0]
-            for number in range(4)
-            for index, route in enumerate(("unsafe", "safe"))
-        }
         for request_id in hung:
-            assert by_id[request_id] == (502 if request_id.startswith("unsafe") else 200)
+            status, _, _ = asking[request_id].result()
+            assert status == (502 if request_id.startswith("unsafe") else 200)
             assert first.ran.count(request_id) == 1
 
     play(scenario)
