--- a/tests/test_unread_bodies.py
+++ b/tests/test_unread_bodies.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import time
+from http import HTTPStatus
 
 import pytest
 from gateway_stand_ins import play
@@ -26,7 +27,7 @@
 
 
 async def refuse(_request: ProxiedRequest) -> ProxiedAnswer:
-    return own_answer(503, body=b"not run")
+    return own_answer(HTTPStatus.SERVICE_UNAVAILABLE, body=b"not run")
 
 
 def head(length: int) -> bytes:
