--- a/tests/test_process_stop.py
+++ b/tests/test_process_stop.py
@@ -15,6 +15,7 @@
 
 import asyncio
 import signal
+import socket
 import subprocess
 import time
 from pathlib import Path
@@ -124,6 +125,31 @@
         daemon.send(signal.SIGKILL, 0.0)
 
 
+def test_a_gateway_whose_peers_do_not_answer_ends_in_its_time(tmp_path: Path) -> None:
+    """Its last words to a frozen daemon and to a silent store take longer than it has."""
+    daemons = [SoakDaemon(f"g{number}", "n1", tmp_path) for number in range(4)]
+    with socket.create_server(("127.0.0.1", 0)) as silent_store:
+        store = f"127.0.0.1:{silent_store.getsockname()[1]}"
+        for each in daemons:
+            each.write_settings([other.peers for other in daemons], store)
+            each.start(0.0)
+        try:
+            deadline = time.monotonic() + _START_SECONDS
+            while not daemons[0].has_logged("member-changed") and time.monotonic() < deadline:
+                time.sleep(0.05)
+            time.sleep(3.0)
+            for each in daemons[1:]:
+                each.send(signal.SIGSTOP, 0.0)
+            told_at = time.monotonic()
+            daemons[0].send(signal.SIGTERM, 0.0)
+            asyncio.run(daemons[0].wait_ended(STOP_SECONDS + 8.0))
+            assert daemons[0].exit_status() == 0
+            assert time.monotonic() - told_at <= STOP_SECONDS
+        finally:
+            for each in daemons:
+                each.send(signal.SIGKILL, 0.0)
+
+
 @pytest.mark.parametrize("attempt", range(3))
 def test_a_stand_in_that_was_paused_when_it_was_told_to_stop_ends(attempt: int) -> None:
     process = start_python(["-m", "kitekeel_lab", "platform", free_address()], subprocess.DEVNULL)
