Looking at an idle connection before closing it waits for nothing; the platform's follower apart

Cause: my look at idle connections read from a socket that has a time-out, and so waited for it (10 s) on the thread that watches all connections. Found by a dump of the threads.

Change: the look asks poll() first.

--- a/packages/kitekeel-callers/src/kitekeel_callers/kept_connection.py
+++ b/packages/kitekeel-callers/src/kitekeel_callers/kept_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 import socket
 
 from cheroot.server import HTTPConnection
@@ -33,8 +34,13 @@
         super().close()
 
     def _has_request(self) -> bool:
+        """Look without waiting; reading a socket that has a time-out would wait for that long."""
+        watch = select.poll()
+        watch.register(self.socket, select.POLLIN)
+        if not watch.poll(0):
+            return False
         try:
-            return bool(self.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+            return bool(self.socket.recv(1, socket.MSG_PEEK))
         except OSError:
-            # Nothing has come, or the caller has reset the connection: there is nothing to serve.
+            # The caller has reset the connection: there is nothing to serve.
             return False
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/daemon.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/daemon.py
@@ -5,7 +5,6 @@
 import queue
 import secrets
 import threading
-from collections.abc import Callable
 from pathlib import Path
 
 from kitekeel_backends.forwarding import Forwarder
@@ -22,6 +21,7 @@
 from kitekeel_daemon.metrics import StatsdSender
 from kitekeel_daemon.operations import DaemonOperations
 from kitekeel_daemon.phase_report import PhaseReport
+from kitekeel_daemon.platform_follower import Loop, PlatformFollower
 from kitekeel_daemon.pool_exchanges import PoolExchanges
 from kitekeel_daemon.queries import Queries
 from kitekeel_daemon.request_runner import RequestRunner
@@ -34,13 +34,11 @@
 from kitekeel_peers.membership import Membership
 from kitekeel_peers.messages import MemberPhase, MemberRecord, MemberState, describe_state
 from kitekeel_peers.rpc import PeerClient, PeerServer, TlsFiles
-from kitekeel_platform.client import MachineList, PlatformClient
+from kitekeel_platform.client import PlatformClient
 from kitekeel_platform.configuration_store import ConfigurationStore
 from kitekeel_platform.key_claims import KeyClaims
 from kitekeel_platform.rate_budget import RateBudget
-from kitekeel_platform.watchers import ConfigurationWatch, MachineListPoll
 from kitekeel_steering.clock import SystemClock
-from kitekeel_steering.errors import PlatformError
 from kitekeel_steering.events import EventLog, HybridClock
 from kitekeel_steering.grant_messages import PoolName
 from kitekeel_steering.grant_table import HolderIdentity
@@ -54,7 +52,6 @@
 from kitekeel_steering.settings import PeerSettings, Settings
 
 _WATCHERS_PER_ZONE = 2
-_MACHINE_LIST_SECONDS = 1.0
 _KEEPER_REVIEW_SECONDS = 0.5
 _BUDGET_BURST_SECONDS = 5.0
 _OPERATOR_THREADS = 6
@@ -62,8 +59,6 @@
 _WAITING_SHARE = 0.8
 _OPERATOR_LIMITS = ServerLimits(threads=_OPERATOR_THREADS, queued_connections=32)
 
-Loop = Callable[[threading.Event], None]
-
 
 class Daemon:
     """One kitekeel daemon.
@@ -83,9 +78,7 @@
         hybrid_clock = HybridClock(self._clock)
         self.recorder = EventRecorder(EventLog(self.instance, hybrid_clock), self.instance)
         self._pulls: queue.SimpleQueue[str] = queue.SimpleQueue()
-        self._machine_list = MachineList()
         self._member_states: dict[str, str] = {}
-        self._platform_failure = ""
         self._make_platform()
         self._make_peers(hybrid_clock)
         self._make_steering()
@@ -95,7 +88,7 @@
     def start(self) -> None:
         """Listen, join the other daemons, learn the configuration, and start all loops."""
         self.peer_server.start()
-        self._poll_machines_once()
+        self._platform_follower.load_machines()
         self.membership.join()
         self._load_configuration()
         for loop in self._loops():
@@ -149,6 +142,15 @@
         self.keeper = Keeper(self.instance, self._clock, self._timing, self.recorder.add)
         self.key_table = KeyTable(self._clock)
         self.handover = KeyHandover(self.key_table, self.peer_client, self.instance)
+        self._platform_follower = PlatformFollower(
+            self._platform,
+            self._store,
+            self.spread,
+            self.keeper,
+            self.recorder,
+            self._is_zone_watcher,
+            self._polls_machines,
+        )
         self.spread.register(self.peer_server)
         self.membership.register(self.peer_server)
         self.keeper.register(self.peer_server)
@@ -229,27 +231,12 @@
         )
 
     def _loops(self) -> list[Loop]:
-        watch = ConfigurationWatch(
-            self._store,
-            self.spread.revision,
-            self._adopt,
-            self._is_zone_watcher,
-            self._note_platform_failure,
-        )
-        machine_poll = MachineListPoll(
-            self._platform,
-            _MACHINE_LIST_SECONDS,
-            self._on_machine_list,
-            self._polls_machines,
-            self._note_platform_failure,
-        )
         probes = LoadProbes(self._probe_targets, self.keeper.note_report, self.keeper.note_refused)
         sender = StatsdSender(self.metrics, self.settings.metrics, self.settings.daemon.name)
         return [
             self.membership.run,
             self.exchanges.run,
-            watch.run,
-            machine_poll.run,
+            *self._platform_follower.loops(),
             probes.run,
             sender.run,
             self._run_pulls,
@@ -264,13 +251,7 @@
         """Take the later of what the peers and what the platform have."""
         while not self._pulls.empty():
             self.spread.pull(self._pulls.get())
-        try:
-            self._adopt(self._store.load())
-        except PlatformError as error:
-            self._note_platform_failure(error)
-
-    def _adopt(self, configuration: Configuration) -> None:
-        self.spread.adopt(configuration)
+        self._platform_follower.load_configuration()
 
     def _on_configuration(self, configuration: Configuration) -> None:
         self.recorder.add("configuration-adopted", f"revision {configuration.revision}")
@@ -287,31 +268,7 @@
             self.key_table.abandon(record.instance)
 
     def _seeds(self) -> list[str]:
-        listed = [each.address for each in self._machine_list.machines if each.role == "daemon"]
-        return [*self.settings.peers.seeds, *listed]
-
-    def _poll_machines_once(self) -> None:
-        try:
-            self._on_machine_list(self._platform.machines())
-        except PlatformError as error:
-            self._note_platform_failure(error)
-
-    def _note_platform_failure(self, error: PlatformError) -> None:
-        """Record why the platform cannot be used, once until the reason changes."""
-        if error.message != self._platform_failure:
-            self._platform_failure = error.message
-            self.recorder.add("platform-unavailable", error.message)
-
-    def _on_machine_list(self, machine_list: MachineList) -> None:
-        self._machine_list = machine_list
-        self._platform_failure = ""
-        self.keeper.set_leaving(
-            frozenset(
-                each.address
-                for each in machine_list.machines
-                if each.role == "backend" and each.leaving
-            )
-        )
+        return [*self.settings.peers.seeds, *self._platform_follower.daemon_addresses()]
 
     def _is_zone_watcher(self) -> bool:
         """Tell whether this daemon is among the few of its zone that follow the platform."""
--- a/packages/kitekeel-platform/src/kitekeel_platform/watchers.py
+++ b/packages/kitekeel-platform/src/kitekeel_platform/watchers.py
@@ -35,7 +35,7 @@
         self,
         store: ConfigurationStore,
         revision: Callable[[], int],
-        on_change: Callable[[Configuration], None],
+        on_change: Callable[[Configuration], object],
         is_watcher: Callable[[], bool],
         on_failure: Callable[[PlatformError], None],
     ) -> None:
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -142,3 +142,30 @@
     finally:
         server.stop()
     assert results == ["closed before"]
+
+
+def test_requests_are_served_while_idle_connections_are_closed() -> None:
+    """Eight connections run out together; looking at them must not wait for anything."""
+    address = free_address()
+    server = HttpServer(address, application, ServerLimits(4, idle_timeout_seconds=_IDLE_SECONDS))
+    server.start()
+    host, _, port = address.rpartition(":")
+    idle = [http.client.HTTPConnection(host, int(port), timeout=5.0) for _ in range(8)]
+    slowest = 0.0
+    try:
+        for each in idle:
+            each.request("GET", "/")
+            each.getresponse().read()
+        end = time.monotonic() + _IDLE_SECONDS + 2.0
+        while time.monotonic() < end:
+            started_at = time.monotonic()
+            connection = http.client.HTTPConnection(host, int(port), timeout=5.0)
+            connection.request("GET", "/")
+            connection.getresponse().read()
+            connection.close()
+            slowest = max(slowest, time.monotonic() - started_at)
+            time.sleep(0.02)
+    finally:
+        server.stop()
+    # Each look that waits takes the idle time, and eight of them follow one another.
+    assert slowest < _IDLE_SECONDS * 2.0
--- a/tests/test_request_phases.py
+++ b/tests/test_request_phases.py
@@ -1,8 +1,9 @@
 """Where requests spend their time is measured from their arrival, and late ones are told."""
 
+import contextlib
 import threading
 import time
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 import eliot
 import pytest
@@ -29,6 +30,18 @@
     return RequestReader(RequestLimits(), "north").read(environment)
 
 
+@contextlib.contextmanager
+def logged_lines() -> Iterator[list[dict[str, object]]]:
+    lines: list[dict[str, object]] = []
+    # The first destination of a process gets what was logged before it was added.
+    eliot.add_destinations(lines.append)
+    lines.clear()
+    try:
+        yield lines
+    finally:
+        eliot.remove_destination(lines.append)
+
+
 def test_the_time_before_a_thread_reads_a_request_is_known() -> None:
     """One worker thread is busy for 0.5 s; the request behind it has waited for as long."""
     address = free_address()
@@ -71,17 +84,11 @@
 def test_each_phase_is_counted_and_only_late_requests_have_a_line() -> None:
     metrics = MemoryMetrics()
     report = PhaseReport(metrics, "d1")
-    lines: list[dict[str, object]] = []
-    # The first destination of a process gets what was logged before it was added.
-    eliot.add_destinations(lines.append)
-    lines.clear()
-    try:
+    with logged_lines() as lines:
         for seconds_ago in (0.05, 2.0):
             request = request_that_arrived(seconds_ago, 1000)
             request.phases.end()
             report.note_ended(request, "answered", "")
-    finally:
-        eliot.remove_destination(lines.append)
     counts = metrics.snapshot()
     assert counts["phases.unread.below-100-ms"] == 1
     assert counts["phases.unread.below-4000-ms"] == 1
@@ -94,16 +101,11 @@
 
 def test_a_request_whose_outcome_is_unknown_has_a_line_with_its_cause() -> None:
     report = PhaseReport(MemoryMetrics(), "d1")
-    lines: list[dict[str, object]] = []
-    eliot.add_destinations(lines.append)
-    lines.clear()
-    try:
+    with logged_lines() as lines:
         request = request_that_arrived(0.1, 1000)
         request.phases.end()
         report.note_ended(request, "unknown", "connection-broken: reset")
         report.note_ended(request, "not-run", "no-room: full")
-    finally:
-        eliot.remove_destination(lines.append)
     (line,) = lines
     assert line["message_type"] == "request-unknown"
     assert line["cause"] == "connection-broken: reset"
@@ -114,15 +116,10 @@
     monkeypatch.setattr("kitekeel_daemon.line_budget.time.monotonic", lambda: now)
     metrics = MemoryMetrics()
     report = PhaseReport(metrics, "d1")
-    lines: list[dict[str, object]] = []
-    eliot.add_destinations(lines.append)
-    lines.clear()
-    try:
+    with logged_lines() as lines:
         for _ in range(50):
             request = request_that_arrived(2.0, 1000)
             request.phases.end()
             report.note_ended(request, "answered", "")
-    finally:
-        eliot.remove_destination(lines.append)
     assert metrics.snapshot()["requests.late"] == 50
     assert len(lines) == 20
