--- /dev/null
+++ b/packages/kitekeel-steering/src/kitekeel_steering/request_identity.py
@@ -0,0 +1,54 @@
+"""Knows a caller's request again when it comes once more under another id, at whatever daemon.
+
+Two requests are the same where a back end would get the same: method, host, target, object key,
+credentials and body. Deadlines, ids and what proxies add on the way are left out.
+"""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+
+import xxhash
+
+from kitekeel_steering.proxied_messages import (
+    HeaderNames,
+    ProxiedRequest,
+    find_cookie,
+    find_header,
+)
+
+# All of a body that is read before its request is taken to a back end; the rest is not known then.
+_IDENTIFYING_BODY_BYTES = 1024 * 1024
+_DIGEST_BYTES = 16
+_TARGET_LENGTH = 16
+_SEPARATOR = b"\x00"
+
+
+def identify_target(request: ProxiedRequest) -> str:
+    """Return the first part of a request's identity, which is cheap to work out."""
+    host = find_header(request.headers, b"host") or b""
+    return xxhash.xxh64_hexdigest(_SEPARATOR.join((request.method, host, request.target)))
+
+
+def identify(request: ProxiedRequest, names: HeaderNames) -> str:
+    """Return the request's identity: its target's, and a digest of all that a back end gets."""
+    object_key = find_cookie(request.headers, names.affinity_cookie)
+    parts = (
+        request.method,
+        find_header(request.headers, b"host") or b"",
+        request.target,
+        object_key.encode("latin-1"),
+        find_header(request.headers, b"authorization") or b"",
+        find_header(request.headers, b"content-type") or b"",
+        request.body.start[:_IDENTIFYING_BODY_BYTES],
+    )
+    digest = blake2b(digest_size=_DIGEST_BYTES)
+    for part in parts:
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return f"{identify_target(request)}-{digest.hexdigest()}"
+
+
+def target_of(identity: str) -> str:
+    """Return the target's part of an identity."""
+    return identity[:_TARGET_LENGTH]
