A request that ends back end after back end is known again at every daemon and kept away

What callers saw: one request, sent again with new ids at any daemon, ended some forty back ends; with each went the requests beside it, a tenth of its service's requests were not served.

Cause: bounds on repeats held for one try (max_attempts) and for a service's window (the retry budget). Nothing knew a request again under another id, and an end of a process was not told from a broken connection, so no daemon could learn what the fleet had seen. Class: evidence that is thrown away at the end of a request, though the next daemon needs it.

Ruled out: the daemon's own repeats (the same on a route that may not be repeated: 9 sends later than 4 s after the third end, 12 where it may); back ends that end by themselves (requests that ran beside were answered in between).

Change: a request's identity (method, host, target, object key, credentials, body); an end is a broken exchange after which the next connection is refused, another process answers, or the name registers with a later start; three processes without an answer in between quarantine the request. Daemons tell their ring neighbours each growth and compare with one in turn; records merge in any order. What is quarantined lasts in the platform's store, written over the revision that was read. Refused at once with 503 and Retry-After 60 s; no retry budget or connection is spent. Two careful tries of the whole fleet, claimed in the store: after 10 s, and at a new software version. Operators: kitekeel crashes, kitekeel release.

Why it holds: whoever is to send asks the ledger before each send, also before a repeat; growth alone is told on, so nothing circles; the third end may be the sum of three daemons' firsts; after the loss of all daemons the store tells. Who was only beside is released by one complete answer, or by the true cause's next end, or by a try.

--- /dev/null
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/crash_guard.py
@@ -0,0 +1,204 @@
+"""Keeps requests that end back ends away from them, with what all daemons together have seen.
+
+A request is known again by its identity. It is refused at once while it is quarantined, but for a
+few careful tries of the whole fleet: after a while, and at a version of the software that is new.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import random
+from collections.abc import Callable, Coroutine
+
+import msgspec
+
+from kitekeel_daemon.decision_log import DecisionLog
+from kitekeel_daemon.gateway_metrics import GatewayMetrics
+from kitekeel_daemon.process_ends import ProcessEnds
+from kitekeel_peers.crash_exchange import CrashExchange
+from kitekeel_peers.member_table import MemberTable
+from kitekeel_peers.rpc import PeerClient, PeerServer
+from kitekeel_platform.crash_record_keeper import CrashRecordKeeper
+from kitekeel_platform.fleet_store import DocumentFinding, FleetStore
+from kitekeel_steering.clock import Clock
+from kitekeel_steering.crash_ledger import (
+    OPERATOR,
+    OWN,
+    CarefulTry,
+    CrashLedger,
+    LedgerChange,
+    find_try,
+)
+from kitekeel_steering.fleet_items import BackEndRecord
+from kitekeel_steering.fleet_view import FleetView
+from kitekeel_steering.log_messages import (
+    CrashRecordChanged,
+    CrashTryClaimed,
+    CrashTryClaimFailed,
+)
+from kitekeel_steering.proxied_messages import HeaderNames, ProxiedRequest
+from kitekeel_steering.request_identity import identify, identify_target
+
+
+class Admission(enum.Enum):
+    """What may be done with a request: send it, try it once with care, or refuse it."""
+
+    FREE = "free"
+    ONE_TRY = "one-try"
+    REFUSED = "refused"
+
+
+class Verdict(msgspec.Struct, frozen=True):
+    """The guard's decision about a request.
+
+    Attributes:
+        identity: empty where nothing is known of the request.
+        version: the only version of back ends that it may be tried at; ``None`` for any.
+    """
+
+    admission: Admission
+    identity: str = ""
+    version: str | None = None
+
+
+_FREE = Verdict(Admission.FREE)
+
+
+class CrashGuard:
+    """Decides about requests by one daemon's ledger; used on one event loop."""
+
+    def __init__(
+        self,
+        view: FleetView,
+        names: HeaderNames,
+        clock: Clock,
+        metrics: GatewayMetrics,
+        log: DecisionLog,
+    ) -> None:
+        self._view = view
+        self._names = names
+        self._metrics = metrics
+        self._log = log
+        self.ledger = CrashLedger(clock, self._on_change)
+        self.ends = ProcessEnds(names, clock, metrics, log, self._on_end)
+        self._exchange: CrashExchange | None = None
+        self._keeper: CrashRecordKeeper | None = None
+        self._clock = clock
+        self._claims: dict[str, asyncio.Task[None]] = {}
+        self._permits: dict[str, CarefulTry] = {}
+
+    def share(
+        self,
+        client: PeerClient,
+        table: MemberTable,
+        server: PeerServer,
+        generator: random.Random,
+        on_failure: Callable[[str, str], None],
+    ) -> None:
+        """Share what is known with the other daemons; see :class:`CrashExchange`."""
+        loop = asyncio.get_running_loop()
+        self._exchange = CrashExchange(self.ledger, client, table, loop, generator, on_failure)
+        self._exchange.register(server)
+
+    def keep(
+        self,
+        store: FleetStore,
+        must_follow: Callable[[], bool],
+        generator: random.Random,
+        on_dependency: Callable[[str, bool, str], None],
+        on_finding: Callable[[DocumentFinding], None],
+    ) -> None:
+        """Keep in the store what must outlast the daemons; see :class:`CrashRecordKeeper`."""
+        self._keeper = CrashRecordKeeper(
+            store,
+            self.ledger,
+            must_follow,
+            generator,
+            on_dependency,
+            on_finding,
+            lambda reason: self._log.state(CrashTryClaimFailed(reason)),
+        )
+
+    def close(self) -> None:
+        """Tell the other daemons nothing any more."""
+        if self._exchange is not None:
+            self._exchange.close()
+
+    def count(self) -> int:
+        """Return how many requests are quarantined."""
+        return len(self.ledger.quarantined())
+
+    def loops(self) -> list[Coroutine[None, None, None]]:
+        """Return the loops to run until the daemon stops."""
+        found = [each.run() for each in (self._exchange, self._keeper) if each is not None]
+        return list(found)
+
+    def judge(self, request: ProxiedRequest, service: str) -> Verdict:
+        """Return what may be done with a request before it is sent, for the first time or again."""
+        if not self.ledger.may_know(identify_target(request)):
+            return _FREE
+        identity = identify(request, self._names)
+        if not self.ledger.is_quarantined(identity):
+            return Verdict(Admission.FREE, identity)
+        permit = self._permits.pop(identity, None)
+        if permit is not None:
+            return Verdict(Admission.ONE_TRY, identity, permit.version)
+        self._claim_a_try(identity, service)
+        return Verdict(Admission.REFUSED, identity)
+
+    def note_answered(self, request: ProxiedRequest) -> None:
+        """Note that a back end answered a request whole, and not with a failure."""
+        if not self.ledger.may_know(identify_target(request)):
+            return
+        self.ledger.note_answered(identify(request, self._names))
+
+    def _on_end(self, identity: str, record: BackEndRecord) -> None:
+        process = f"{record.instance}/{record.started_at_ms}"
+        self.ledger.note_end(identity, record.service, process, record.version)
+
+    def _on_change(self, change: LedgerChange) -> None:
+        record = change.record
+        self._metrics.increment(f"crashes.records-{change.source.partition(' ')[0]}")
+        self._log.state(
+            CrashRecordChanged(
+                identity=record.identity,
+                service=record.service,
+                ends=len(record.ends),
+                last_end=record.ends[-1] if record.ends else "",
+                times_cleared=record.epoch,
+                is_quarantined=change.is_quarantined,
+                source=change.source,
+            )
+        )
+        if self._exchange is not None:
+            self._exchange.tell(record)
+        if self._keeper is not None and (change.is_quarantined or record.epoch):
+            self._note_lasting(change, self._keeper)
+
+    def _note_lasting(self, change: LedgerChange, keeper: CrashRecordKeeper) -> None:
+        if change.source in (OWN, OPERATOR):
+            keeper.note_found()
+        elif change.source.startswith("peer"):
+            keeper.note_heard()
+
+    def _claim_a_try(self, identity: str, service: str) -> None:
+        """Ask for the next careful try of the fleet, for when the caller comes again."""
+        record = self.ledger.find(identity)
+        if record is None or identity in self._claims or self._keeper is None:
+            return
+        versions = {
+            each.version for each in self._view.back_ends(service).values() if not each.draining
+        }
+        found = find_try(record, versions, self._clock.wall())
+        if found is None:
+            return
+        task = asyncio.get_running_loop().create_task(self._claim(identity, found, self._keeper))
+        self._claims[identity] = task
+        task.add_done_callback(lambda _: self._claims.pop(identity, None))
+
+    async def _claim(self, identity: str, wanted: CarefulTry, keeper: CrashRecordKeeper) -> None:
+        is_granted = await keeper.claim_try(identity, wanted.reason)
+        self._log.state(CrashTryClaimed(identity, wanted.reason, is_granted))
+        if is_granted:
+            self._permits[identity] = wanted
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/fleet_follower.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/fleet_follower.py
@@ -95,7 +95,7 @@
         self._probe = StoreProbe(store, self._on_probe_answer, self._on_probed, generator, contact)
         listeners = SyncListeners(
             self.on_dependency,
-            self._on_finding,
+            self.on_finding,
             self._on_removals_held,
             self._on_store_answer,
             self._on_history_lost,
@@ -189,7 +189,7 @@
             for each in self._syncs.values():
                 each.restart()
 
-    def _on_finding(self, finding: DocumentFinding) -> None:
+    def on_finding(self, finding: DocumentFinding) -> None:
         """Count a document that could not be read, and tell each once; a read finds it again."""
         self._metrics.increment("store.findings")
         if self._told_findings.get(finding.key) == finding.revision:
--- /dev/null
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/gateway_operations.py
@@ -0,0 +1,76 @@
+"""What operators ask of one gateway daemon: its metrics, and the requests that end back ends.
+
+``GET /crash-records`` lists those requests with their evidence. ``POST /crash-records/ID/release``
+releases one everywhere; it takes the daemons' shared secret. Every other path tells the metrics.
+"""
+
+from __future__ import annotations
+
+import hmac
+from collections.abc import Callable
+from http import HTTPStatus
+
+import msgspec
+
+from kitekeel_daemon.request_outcomes import own_answer
+from kitekeel_steering.crash_ledger import CrashLedger
+from kitekeel_steering.crash_reports import (
+    CRASH_RECORDS_PATH,
+    RELEASE_SUFFIX,
+    SECRET_HEADER,
+    CrashReport,
+)
+from kitekeel_steering.proxied_messages import ProxiedAnswer, ProxiedRequest, find_header
+
+_JSON = ((b"Content-Type", b"application/json"),)
+
+
+class GatewayOperations:
+    """Answers operators.
+
+    Args:
+        ledger: what is known of requests that end back ends.
+        secret: proves the right to release one.
+        metrics_text: returns the metrics.
+    """
+
+    def __init__(self, ledger: CrashLedger, secret: str, metrics_text: Callable[[], bytes]) -> None:
+        self._ledger = ledger
+        self._secret = secret.encode()
+        self._metrics_text = metrics_text
+
+    async def handle(self, request: ProxiedRequest) -> ProxiedAnswer:
+        """Answer one request."""
+        path = request.target.partition(b"?")[0].decode("latin-1")
+        if path == CRASH_RECORDS_PATH:
+            return own_answer(HTTPStatus.OK, _JSON, msgspec.json.encode(self._reports()))
+        if path.startswith(f"{CRASH_RECORDS_PATH}/") and path.endswith(RELEASE_SUFFIX):
+            return self._release(request, path)
+        return own_answer(HTTPStatus.OK, body=self._metrics_text())
+
+    def _reports(self) -> list[CrashReport]:
+        found = self._ledger.records()
+        return [
+            CrashReport(
+                identity=each.identity,
+                service=each.service,
+                is_quarantined=self._ledger.is_quarantined(each.identity),
+                ends=each.ends,
+                versions=each.versions,
+                tries=each.tries,
+                times_cleared=each.epoch,
+                last_end_at=each.last_end_at,
+            )
+            for each in found
+            if each.ends
+        ]
+
+    def _release(self, request: ProxiedRequest, path: str) -> ProxiedAnswer:
+        given = find_header(request.headers, SECRET_HEADER) or b""
+        if request.method != b"POST":
+            return own_answer(HTTPStatus.METHOD_NOT_ALLOWED)
+        if not hmac.compare_digest(given, self._secret):
+            return own_answer(HTTPStatus.FORBIDDEN)
+        identity = path.removeprefix(f"{CRASH_RECORDS_PATH}/").removesuffix(RELEASE_SUFFIX)
+        is_released = self._ledger.release(identity)
+        return own_answer(HTTPStatus.OK if is_released else HTTPStatus.NOT_FOUND)
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/process_ends.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/process_ends.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections import defaultdict, deque
+from collections.abc import Callable
 
 import msgspec
 
@@ -46,11 +47,22 @@
 
 
 class ProcessEnds:
-    """Finds which requests were running when a back end's process ended; of one event loop."""
+    """Finds which requests were running when a back end's process ended; of one event loop.
+
+    Args:
+        on_end: called with the identity of a request and the record of the process that ended
+            while it ran it.
+    """
 
     def __init__(
-        self, names: HeaderNames, clock: Clock, metrics: GatewayMetrics, log: DecisionLog
+        self,
+        names: HeaderNames,
+        clock: Clock,
+        metrics: GatewayMetrics,
+        log: DecisionLog,
+        on_end: Callable[[str, BackEndRecord], None],
     ) -> None:
+        self._on_end = on_end
         self._names = names
         self._clock = clock
         self._metrics = metrics
@@ -134,3 +146,5 @@
                 process=state.value,
             )
         )
+        if state is ProcessState.GONE:
+            self._on_end(identity, found.record)
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/request_outcomes.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/request_outcomes.py
@@ -29,6 +29,7 @@
     RETRY_BUDGET = "retry-budget"
     NO_CONFIGURATION = "no-configuration"
     NO_MATCH = "no-match"
+    ENDS_BACK_ENDS = "ends-back-ends"
 
 
 def own_answer(
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/request_recorder.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/request_recorder.py
@@ -114,6 +114,7 @@
             known=routed.known,
             usable=routed.usable,
             is_late=is_late,
+            identity=routed.identity,
         )
         is_answered = outcome is Outcome.ANSWERED and status < HTTPStatus.INTERNAL_SERVER_ERROR
         is_ordinary = is_answered and routed.sends == 1 and not is_late
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/routed_request.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/routed_request.py
@@ -17,6 +17,9 @@
         attempts: how many back ends may have received it.
         sends: how many back ends were chosen, reached or not.
         lines: its decisions so far, to be logged once it has ended.
+        identity: the same for each try of the same request; empty where nothing is known of it.
+        is_one_try: whether it is quarantined and may be sent once nevertheless.
+        only_version: the software version of back ends that it may then be sent to, if any.
     """
 
     request: ProxiedRequest
@@ -31,5 +34,8 @@
     attempts: int = 0
     sends: int = 0
     may_have_run: bool = False
+    identity: str = ""
+    is_one_try: bool = False
+    only_version: str | None = None
     known: int = 0
     usable: int = 0
--- /dev/null
+++ b/packages/kitekeel-operators/src/kitekeel_operators/crash_records.py
@@ -0,0 +1,86 @@
+"""Asks gateway daemons for the requests that end back ends, and releases them."""
+
+from __future__ import annotations
+
+import time
+from http import HTTPStatus
+
+import msgspec
+import urllib3
+
+from kitekeel_operators.client import DaemonUnreachableError, OperatorRefusedError
+from kitekeel_operators.messages import FailureReply
+from kitekeel_steering.crash_reports import (
+    CRASH_RECORDS_PATH,
+    RELEASE_SUFFIX,
+    SECRET_HEADER,
+    CrashReport,
+)
+
+_TIMEOUT_SECONDS = 3.0
+_NO_RECORD = "crash-record-unknown"
+_WRONG_SECRET = "secret-wrong"
+
+
+def fetch_crash_reports(address: str) -> list[CrashReport]:
+    """Return what the gateway with this metrics address knows.
+
+    Raises:
+        DaemonUnreachableError: it did not answer, or not as a gateway does.
+    """
+    body = _call("GET", address, CRASH_RECORDS_PATH, {}).data
+    try:
+        return msgspec.json.decode(body, type=list[CrashReport])
+    except msgspec.MsgspecError as error:
+        raise DaemonUnreachableError(f"{address} answers no crash records: {error}") from error
+
+
+def release(address: str, identity: str, secret: str) -> None:
+    """Release a request at every daemon; the one that is asked tells the others.
+
+    Raises:
+        DaemonUnreachableError: it did not answer.
+        OperatorRefusedError: the secret is wrong, or nothing is known of the request.
+    """
+    path = f"{CRASH_RECORDS_PATH}/{identity}{RELEASE_SUFFIX}"
+    status = _call("POST", address, path, {SECRET_HEADER.decode(): secret}).status
+    if status == HTTPStatus.FORBIDDEN:
+        raise _refusal(_WRONG_SECRET, "the daemons' shared secret is wrong")
+    if status != HTTPStatus.OK:
+        raise _refusal(_NO_RECORD, f"nothing is known of request {identity}")
+
+
+def format_crash_reports(reports: list[CrashReport]) -> str:
+    """Return the reports as text, the quarantined ones first."""
+    if not reports:
+        return "no request has ended back ends"
+    now = time.time()
+    lines: list[str] = []
+    for each in sorted(reports, key=lambda one: (not one.is_quarantined, -len(one.ends))):
+        state = "quarantined" if each.is_quarantined else "suspect"
+        age = max(0.0, now - each.last_end_at)
+        lines.append(f"{each.identity}  {state}  service {each.service}")
+        lines.append(f"    {len(each.ends)} processes ended, the last {age:.0f} s ago")
+        lines.append(f"    ended: {', '.join(each.ends)}")
+        lines.append(f"    versions: {', '.join(each.versions) or 'not stated'}")
+        if each.tries:
+            lines.append(f"    tried again: {', '.join(each.tries)}")
+        if each.times_cleared:
+            lines.append(f"    cleared {each.times_cleared} times before")
+    return "\n".join(lines)
+
+
+def _refusal(code: str, message: str) -> OperatorRefusedError:
+    return OperatorRefusedError(FailureReply(code, message))
+
+
+def _call(
+    method: str, address: str, path: str, headers: dict[str, str]
+) -> urllib3.BaseHTTPResponse:
+    url = f"http://{address}{path}"
+    try:
+        return urllib3.request(
+            method, url, headers=headers, timeout=_TIMEOUT_SECONDS, retries=False
+        )
+    except urllib3.exceptions.HTTPError as error:
+        raise DaemonUnreachableError(f"{address}: {error}") from error
--- a/packages/kitekeel-platform/src/kitekeel_platform/counted_store.py
+++ b/packages/kitekeel-platform/src/kitekeel_platform/counted_store.py
@@ -4,7 +4,13 @@
 
 from collections.abc import Callable
 
-from kitekeel_platform.fleet_store import FleetItems, FleetStore, RegisteredDaemon
+from kitekeel_platform.fleet_store import (
+    FleetItems,
+    FleetStore,
+    RegisteredDaemon,
+    StoredCrashRecord,
+    StoredCrashRecords,
+)
 from kitekeel_steering.fleet_items import FleetPart
 
 
@@ -61,3 +67,18 @@
         """Count and list the daemons."""
         self._count("list-daemons")
         return await self._store.registered_daemons()
+
+    async def crash_records(self) -> StoredCrashRecords:
+        """Count and read."""
+        self._count("read-crash-records")
+        return await self._store.crash_records()
+
+    async def write_crash_record(self, stored: StoredCrashRecord) -> None:
+        """Count and write."""
+        self._count("write-crash-record")
+        await self._store.write_crash_record(stored)
+
+    async def remove_crash_record(self, stored: StoredCrashRecord) -> None:
+        """Count and remove."""
+        self._count("remove-crash-record")
+        await self._store.remove_crash_record(stored)
--- a/tests/crashing_back_end.py
+++ b/tests/crashing_back_end.py
@@ -6,6 +6,7 @@
 import asyncio
 import time
 from collections import defaultdict
+from http import HTTPStatus
 from typing import ClassVar
 
 import msgspec
@@ -116,9 +117,9 @@
     async def _handle(self, request: ProxiedRequest) -> ProxiedAnswer:
         headers = ((NAMES.request_id, find_header(request.headers, NAMES.request_id) or b""),)
         if find_header(request.headers, NAMES.target_instance) != self.record.instance.encode():
-            return own_answer(421, headers)  # type: ignore[arg-type]
+            return own_answer(HTTPStatus.MISDIRECTED_REQUEST, headers)
         if self._running >= self._slots:
-            return own_answer(503, (*headers, (NAMES.not_run, b"1")))  # type: ignore[arg-type]
+            return own_answer(HTTPStatus.SERVICE_UNAVAILABLE, (*headers, (NAMES.not_run, b"1")))
         self._running += 1
         started = self._starts
         try:
@@ -139,4 +140,4 @@
             await asyncio.shield(crash)
         part = next((each for each in self.seconds_by_part if each in path), "")
         await asyncio.sleep(self.seconds_by_part[part] if part else 0.01)
-        return own_answer(200, headers, self.record.instance.encode())  # type: ignore[arg-type]
+        return own_answer(HTTPStatus.OK, headers, self.record.instance.encode())
--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -7,7 +7,10 @@
     FleetItems,
     HistoryLostError,
     LeaseEndedError,
+    RecordChangedError,
     RegisteredDaemon,
+    StoredCrashRecord,
+    StoredCrashRecords,
 )
 from kitekeel_steering.errors import PlatformUnavailableError
 from kitekeel_steering.fleet_items import BackEndRecord, FleetPart, ItemKind, ViewItem, part_of
@@ -29,6 +32,7 @@
         self.history: list[ViewItem] = []
         self.oldest = 0
         self.daemons: dict[str, RegisteredDaemon] = {}
+        self.crash_records: dict[str, StoredCrashRecord] = {}
         self.turned_away: set[str] = set()
         self.is_silent = False
         self.deaf: set[tuple[str, FleetPart]] = set()
@@ -166,3 +170,24 @@
     async def registered_daemons(self) -> tuple[RegisteredDaemon, ...]:
         self._check()
         return tuple(self._store.daemons.values())
+
+    async def crash_records(self) -> StoredCrashRecords:
+        self._check()
+        return StoredCrashRecords(tuple(self._store.crash_records.values()))
+
+    async def write_crash_record(self, stored: StoredCrashRecord) -> None:
+        self._check()
+        self._check_revision(stored)
+        self._store.revision += 1
+        written = StoredCrashRecord(stored.record, self._store.revision)
+        self._store.crash_records[stored.record.identity] = written
+
+    async def remove_crash_record(self, stored: StoredCrashRecord) -> None:
+        self._check()
+        self._check_revision(stored)
+        del self._store.crash_records[stored.record.identity]
+
+    def _check_revision(self, stored: StoredCrashRecord) -> None:
+        known = self._store.crash_records.get(stored.record.identity)
+        if stored.revision != (known.revision if known is not None else 0):
+            raise RecordChangedError("the record has changed")
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -25,10 +25,14 @@
 import time
 
 import msgspec
+import pytest
 from crashing_back_end import Arrival, CrashingBackEnd
-from gateway_stand_ins import RunningGateway, ask, configuration, play, until
+from gateway_stand_ins import SECRET, RunningGateway, ask, configuration, play, until
 from memory_store import MemoryStore
 
+from kitekeel_operators.client import OperatorRefusedError
+from kitekeel_operators.crash_records import fetch_crash_reports, format_crash_reports, release
+
 # What the users allow: sends by daemons in touch later than this after the third end.
 CONTACT_SECONDS = 4.0
 MOST_SENDS_AFTER = 3
@@ -134,3 +138,167 @@
 def test_a_request_that_ends_back_ends_is_known_again_at_every_daemon() -> None:
     for route, takes_new_names in (("safe", True), ("unsafe", False)):
         play(lambda: play_a_crashing_request(route, takes_new_names))  # noqa: B023
+
+
+LONGEST_NEWS_SECONDS = 3.0
+
+
+async def end_three_back_ends(gateways: list[RunningGateway], path: str) -> None:
+    """Ask for a path that ends its back end until it is refused, and that by every gateway."""
+    for _ in range(20):
+        status, _, _ = await ask(random.choice(gateways).callers, path, f"q{next(_ids)}")
+        if status == 503:
+            break
+    assert await until(lambda: all(quarantined(each) for each in gateways), LONGEST_NEWS_SECONDS)
+
+
+def quarantined(entry: RunningGateway) -> int:
+    return entry.gateway.quarantined_requests()
+
+
+async def sends_after(
+    gateways: list[RunningGateway], back_ends: list[CrashingBackEnd], path: str
+) -> int:
+    """Return how many of twenty further tries reach a back end."""
+    before = len(crashing_arrivals(back_ends, path))
+    for _ in range(20):
+        await ask(random.choice(gateways).callers, path, f"q{next(_ids)}")
+    return len(crashing_arrivals(back_ends, path)) - before
+
+
+def test_the_refusal_is_at_once_and_true_and_says_to_stay_away() -> None:
+    async def scenario() -> None:
+        _, back_ends, gateways = await crashing_fleet(gateways=2, back_ends=5)
+        await end_three_back_ends(gateways, "/unsafe/crash")
+        before = len(crashing_arrivals(back_ends, "/unsafe/crash"))
+        asked_at = time.monotonic()
+        status, headers, _ = await ask(gateways[0].callers, "/unsafe/crash", "again")
+        assert time.monotonic() - asked_at < 0.2
+        assert status == 503
+        assert float(headers["retry-after"]) >= 10.0
+        assert len(crashing_arrivals(back_ends, "/unsafe/crash")) == before
+
+    play(scenario)
+
+
+def test_the_fleet_knows_it_after_all_daemons_were_lost_together() -> None:
+    async def scenario() -> None:
+        store, back_ends, gateways = await crashing_fleet(gateways=2, back_ends=6)
+        await end_three_back_ends(gateways, "/unsafe/crash")
+        assert await until(lambda: bool(store.crash_records), LONGEST_NEWS_SECONDS)
+        await RunningGateway.kill_all()
+        later = [await RunningGateway(store, f"h{number}").start() for number in range(2)]
+        assert await until(lambda: all(quarantined(each) for each in later), LONGEST_NEWS_SECONDS)
+        assert await sends_after(later, back_ends, "/unsafe/crash") == 0
+
+    play(scenario)
+
+
+def test_daemons_tell_each_other_while_the_store_is_away_and_one_that_starts() -> None:
+    async def scenario() -> None:
+        store, back_ends, gateways = await crashing_fleet(gateways=3, back_ends=6)
+        store.turned_away.update({"g0", "g1", "g2", "late"})
+        await end_three_back_ends(gateways, "/unsafe/crash")
+        assert not store.crash_records
+        seeds = ", ".join(each.peers for each in gateways)
+        late = await RunningGateway(store, "late", seeds).start()
+        assert await until(lambda: quarantined(late) == 1, LONGEST_NEWS_SECONDS)
+        assert await sends_after([late], back_ends, "/unsafe/crash") == 0
+        store.turned_away.clear()
+        assert await until(lambda: bool(store.crash_records), LONGEST_NEWS_SECONDS)
+
+    play(scenario)
+
+
+def test_another_version_of_the_service_is_tried_once_by_the_whole_fleet() -> None:
+    async def scenario() -> None:
+        store, back_ends, gateways = await crashing_fleet(gateways=2, back_ends=5)
+        await end_three_back_ends(gateways, "/unsafe/crash")
+        mended = [CrashingBackEnd(store, f"m{number}", version="2") for number in range(2)]
+        for each in mended:
+            await each.start()
+        await until(lambda: all(_knows(each, "m1") for each in gateways), LONGEST_NEWS_SECONDS)
+        for _ in range(30):
+            await ask(random.choice(gateways).callers, "/unsafe/crash", f"q{next(_ids)}")
+            await asyncio.sleep(0.02)
+        assert len(crashing_arrivals(mended, "/unsafe/crash")) == 1
+        assert all(quarantined(each) for each in gateways)
+
+    play(scenario)
+
+
+def test_a_version_that_bears_the_request_releases_it_everywhere() -> None:
+    async def scenario() -> None:
+        store, _, gateways = await crashing_fleet(gateways=2, back_ends=3)
+        await end_three_back_ends(gateways, "/unsafe/crash")
+        CrashingBackEnd.harmless_versions = frozenset({"2"})
+        try:
+            mended = await CrashingBackEnd(store, "m0", version="2").start()
+            await until(lambda: all(_knows(each, "m0") for each in gateways), LONGEST_NEWS_SECONDS)
+            for _ in range(30):
+                await ask(gateways[0].callers, "/unsafe/crash", f"q{next(_ids)}")
+                await asyncio.sleep(0.02)
+            released = await until(
+                lambda: not any(quarantined(each) for each in gateways), LONGEST_NEWS_SECONDS
+            )
+            assert released
+            assert mended.arrivals
+        finally:
+            CrashingBackEnd.harmless_versions = frozenset()
+
+    play(scenario)
+
+
+def _knows(entry: RunningGateway, instance: str) -> bool:
+    return entry.gateway.view.find_back_end(instance) is not None
+
+
+def test_an_operator_sees_the_evidence_and_releases_the_request() -> None:
+    async def scenario() -> None:
+        _, _, gateways = await crashing_fleet(gateways=2, back_ends=5)
+        await end_three_back_ends(gateways, "/unsafe/crash")
+        address = gateways[0].metrics
+        reports = await asyncio.to_thread(fetch_crash_reports, address)
+        assert [each.is_quarantined for each in reports] == [True]
+        # The next try may have come to the other gateway before the news.
+        assert len(reports[0].ends) >= 3
+        text = format_crash_reports(reports)
+        assert reports[0].identity in text
+        assert "processes ended" in text
+        with pytest.raises(OperatorRefusedError):
+            await asyncio.to_thread(release, address, reports[0].identity, "not-the-secret")
+        with pytest.raises(OperatorRefusedError):
+            await asyncio.to_thread(release, address, "nothing", SECRET)
+        await asyncio.to_thread(release, address, reports[0].identity, SECRET)
+        assert await until(
+            lambda: not any(quarantined(each) for each in gateways), LONGEST_NEWS_SECONDS
+        )
+
+    play(scenario)
+
+
+def test_a_request_that_was_only_beside_is_served_again_soon() -> None:
+    """Back ends end by themselves, four in a second, while one object is asked for all the time.
+
+    It may happen to run at three of them in a row. Then one try shows that it is harmless.
+    """
+
+    async def scenario() -> None:
+        _, back_ends, gateways = await crashing_fleet(gateways=2, back_ends=8)
+        hot = Load("/safe/slow!", 20.0, "object", [])
+        tasks: list[asyncio.Task[None]] = []
+
+        async def end_in_turn() -> None:
+            for number in range(12):
+                tasks.append(asyncio.create_task(back_ends[number % len(back_ends)].crash()))
+                await asyncio.sleep(0.25)
+
+        async with asyncio.TaskGroup() as group:
+            group.create_task(end_in_turn())
+            group.create_task(hot.run(gateways, 3.0))
+        later = Load("/safe/slow!", 20.0, "object", [])
+        await later.run(gateways, 14.0)
+        assert not any(quarantined(each) for each in gateways)
+        assert later.served_share(time.monotonic() - 2.0) == 1.0
+
+    play(scenario)
--- a/tests/test_peer_fuzz.py
+++ b/tests/test_peer_fuzz.py
@@ -17,6 +17,7 @@
 from loopback import free_address
 from message_strategies import values_of
 
+from kitekeel_peers.crash_exchange import CRASHES, CrashNews
 from kitekeel_peers.membership import JOIN, PROBE
 from kitekeel_peers.messages import JoinRequest, ProbeRequest
 from kitekeel_peers.news_feed import NEWS, NewsPush
@@ -33,6 +34,7 @@
     NEWS: NewsPush,
     OBJECTS: ObjectsRequest,
     VIEW: ViewRequest,
+    CRASHES: CrashNews,
 }
 SECRET = (("kitekeel-secret", "a-secret-for-the-tests"),)
 TIMEOUT_SECONDS = 5.0
