Time counts while a machine is suspended, and beliefs are checked before the first send after it

What callers saw: a request whose time passed while its daemon's machine was suspended was held for as long again as it had left; requests went to back ends that had left meanwhile, over connections that were closed long ago.

Class: time read from a global clock beside the one that is handed in.

Its own pause counts as no outage of the store, so removals are believed at once.

Why it holds: deadlines, ages, windows, leases and timers share one clock; a request that comes before the first tick looks at the clock itself. Not covered: waits of threads and of grpc go on for what was left of them on the old clock, which is bounded by their time-outs (1 s at most in the gateway).

--- a/packages/kitekeel-backends/src/kitekeel_backends/deadline_connection.py
+++ b/packages/kitekeel-backends/src/kitekeel_backends/deadline_connection.py
@@ -8,11 +8,12 @@
 
 import socket
 import threading
-import time
 from collections import defaultdict
 
 from urllib3.connection import HTTPConnection
 
+from kitekeel_steering.clock import steady_seconds
+
 # Of a connection within the users' networks, some 60 ms one way, with one lost packet.
 _LONGEST_CONNECT_SECONDS = 1.0
 # At the deadline, what the kernel already has is still read; nothing more is waited for.
@@ -33,7 +34,7 @@
 
     def recv_into(self, *arguments: object, **options: object) -> int:
         """Read what is there, waiting for it until the deadline."""
-        self.settimeout(max(_NO_WAIT_SECONDS, self.deadline - time.monotonic()))
+        self.settimeout(max(_NO_WAIT_SECONDS, self.deadline - steady_seconds()))
         return super().recv_into(*arguments, **options)  # type: ignore[arg-type]
 
     def sendall(self, *arguments: object, **options: object) -> None:
@@ -42,7 +43,7 @@
         Raises:
             TimeoutError: it has passed; where it had passed before, nothing was written.
         """
-        remaining = self.deadline - time.monotonic()
+        remaining = self.deadline - steady_seconds()
         if remaining <= 0:
             raise TimeoutError("the deadline passed")
         self.settimeout(remaining)
@@ -66,7 +67,7 @@
         super().__init__(host.strip("[]"), int(port))
         self._deadline = deadline
         self.exchanges = 0
-        self.rests_since = time.monotonic()
+        self.rests_since = steady_seconds()
 
     def connect(self) -> None:
         """Connect within the deadline, and within a second.
@@ -75,7 +76,7 @@
             urllib3.exceptions.HTTPError, OSError: no connection.
         """
         self.timeout = min(
-            _LONGEST_CONNECT_SECONDS, max(_NO_WAIT_SECONDS, self._deadline - time.monotonic())
+            _LONGEST_CONNECT_SECONDS, max(_NO_WAIT_SECONDS, self._deadline - steady_seconds())
         )
         super().connect()
         # The library sets its own time-out on the socket; the deadline takes its place there.
@@ -105,7 +106,7 @@
                 connection = resting.pop() if resting else None
             if connection is None:
                 return None
-            rested = time.monotonic() - connection.rests_since
+            rested = steady_seconds() - connection.rests_since
             if rested <= _LONGEST_REST_SECONDS and connection.is_connected:
                 connection.set_deadline(deadline)
                 return connection
@@ -113,7 +114,7 @@
 
     def give_back(self, address: str, connection: DeadlineConnection, most: int) -> None:
         """Keep a connection whose answer was read to its end, up to so many for an address."""
-        connection.rests_since = time.monotonic()
+        connection.rests_since = steady_seconds()
         with self._lock:
             resting = self._resting[address]
             is_kept = connection.sock is not None and len(resting) < most
--- a/packages/kitekeel-backends/src/kitekeel_backends/forwarding.py
+++ b/packages/kitekeel-backends/src/kitekeel_backends/forwarding.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable, Iterator
 from functools import partial
 from http.client import HTTPException
@@ -15,6 +14,7 @@
 import urllib3
 
 from kitekeel_backends.deadline_connection import DeadlineConnection, KeptConnections
+from kitekeel_steering.clock import steady_seconds
 from kitekeel_steering.errors import (
     ConnectFailedError,
     ConnectionBrokenError,
@@ -67,7 +67,7 @@
             ConnectionBrokenError: broken after a byte may have left.
             DeadlinePassedError: no answer by the deadline.
         """
-        if time.monotonic() >= deadline:
+        if steady_seconds() >= deadline:
             raise NoRoomError("the deadline passed before the request was sent", 1.0)
         may_keep = repeatable and request.body is None
         connection = self._kept.take(address, deadline) if may_keep else None
@@ -81,7 +81,7 @@
 
     def cancel(self, address: str, request_id: str) -> bool:
         """Ask a back end to give a request up; tell whether it has."""
-        deadline = time.monotonic() + _CANCEL_SECONDS
+        deadline = steady_seconds() + _CANCEL_SECONDS
         connection = DeadlineConnection(address, deadline)
         try:
             connection.request("DELETE", f"/-/requests/{request_id}")
@@ -107,7 +107,7 @@
     connection: DeadlineConnection, request: ForwardedRequest, deadline: float
 ) -> urllib3.BaseHTTPResponse:
     """Send a request on an open connection and return the response once its head is in."""
-    remaining = max(0.0, deadline - time.monotonic())
+    remaining = max(0.0, deadline - steady_seconds())
     connection.exchanges += 1
     try:
         connection.request(
@@ -162,7 +162,7 @@
     error: Exception, deadline: float, connection: DeadlineConnection
 ) -> ConnectionBrokenError | DeadlinePassedError:
     timed_out = isinstance(error, TimeoutError | urllib3.exceptions.TimeoutError)
-    if timed_out or time.monotonic() >= deadline:
+    if timed_out or steady_seconds() >= deadline:
         text = f"no answer by the deadline on the connection's request {connection.exchanges}"
         return DeadlinePassedError(text, 1.0)
     return ConnectionBrokenError(f"the connection to the back end broke: {error!r}", 1.0)
--- a/packages/kitekeel-callers/src/kitekeel_callers/arrival.py
+++ b/packages/kitekeel-callers/src/kitekeel_callers/arrival.py
@@ -9,11 +9,12 @@
 
 import socket
 import struct
-import time
 from typing import Any
 
 from cheroot import wsgi
 
+from kitekeel_steering.clock import steady_seconds
+
 ARRIVED_AT = "kitekeel.arrived_at"
 """Key in the WSGI environment of the monotonic time at which the request arrived."""
 
@@ -44,5 +45,5 @@
     def get_environ(self) -> dict[str, Any]:  # type: ignore[override]
         """Return the environment of the request; called by the server."""
         environment: dict[str, Any] = super().get_environ()  # type: ignore[no-untyped-call]
-        environment[ARRIVED_AT] = time.monotonic() - seconds_since_data(self.req.conn.socket)
+        environment[ARRIVED_AT] = steady_seconds() - seconds_since_data(self.req.conn.socket)
         return environment
--- a/packages/kitekeel-callers/src/kitekeel_callers/caller_request.py
+++ b/packages/kitekeel-callers/src/kitekeel_callers/caller_request.py
@@ -4,13 +4,13 @@
 
 import re
 import secrets
-import time
 from typing import Any, cast
 from urllib.parse import quote
 
 import msgspec
 
 from kitekeel_callers.arrival import ARRIVED_AT
+from kitekeel_steering.clock import steady_seconds
 from kitekeel_steering.errors import BadRequestError, BodyTooLargeError
 from kitekeel_steering.http_messages import (
     ForwardedRequest,
@@ -98,7 +98,7 @@
             repeatable=repeatable,
             relayed=bool(_header(environment, RELAYED)),
             forwarded=forwarded,
-            phases=RequestPhases(environment.get(ARRIVED_AT, time.monotonic())),
+            phases=RequestPhases(environment.get(ARRIVED_AT, steady_seconds())),
         )
 
     def _forwarded(self, environment: Environment, method: str, target: str) -> ForwardedRequest:
--- a/packages/kitekeel-callers/src/kitekeel_callers/idempotency.py
+++ b/packages/kitekeel-callers/src/kitekeel_callers/idempotency.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from kitekeel_callers.caller_request import CallerRequest
-from kitekeel_steering.clock import Clock
+from kitekeel_steering.clock import Clock, steady_seconds
 from kitekeel_steering.errors import (
     ConnectFailedError,
     HomeMovedError,
@@ -145,7 +145,7 @@
                 return self._run_elsewhere(request, token.instance, deadline)
             if record is None:
                 return self._run_first(request, deadline, run_once)
-            remaining = max(0.0, deadline - time.monotonic())
+            remaining = max(0.0, deadline - steady_seconds())
             ended = self._table.wait(record, remaining)
             if ended is not None:
                 raise _earlier_outcome(ended)
@@ -172,7 +172,7 @@
         A failed connect sends nothing, so another daemon may be tried once it is known to have
         taken the home's keys over.
         """
-        give_up_at = min(deadline, time.monotonic() + _HOME_CHANGE_SECONDS)
+        give_up_at = min(deadline, steady_seconds() + _HOME_CHANGE_SECONDS)
         tried = ""
         while True:
             home = self._homes.resolve(instance)
@@ -185,7 +185,7 @@
                 except NoRoomError as error:
                     # True of this attempt, but the home alone knows of an earlier one.
                     raise HomeUnreachableError(error.message, 1.0) from error
-            if home is None or time.monotonic() >= give_up_at:
+            if home is None or steady_seconds() >= give_up_at:
                 raise HomeUnreachableError("the key's home cannot be reached", 1.0)
             time.sleep(_HOME_CHANGE_PAUSE_SECONDS)
 
--- a/packages/kitekeel-callers/src/kitekeel_callers/intake.py
+++ b/packages/kitekeel-callers/src/kitekeel_callers/intake.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import errno
-import time
 from collections.abc import Callable, Iterable, Iterator
 from http import HTTPStatus
 from typing import Protocol
@@ -25,6 +24,7 @@
     stated_key,
 )
 from kitekeel_callers.idempotency import IdempotentRequests, KeptAnswerError
+from kitekeel_steering.clock import steady_seconds
 from kitekeel_steering.errors import KitekeelError, NoConfigurationError, NoRoomError, NotRunError
 from kitekeel_steering.http_messages import StreamedAnswer
 from kitekeel_steering.key_table import KeptAnswer
@@ -111,7 +111,7 @@
     def _run_now(self, request: CallerRequest, deadline: float) -> StreamedAnswer:
         if not self._runner.is_ready():
             raise NoConfigurationError("no configuration is known yet", 1.0)
-        if time.monotonic() >= deadline:
+        if steady_seconds() >= deadline:
             raise NoRoomError("the deadline passed before the request was read", 1.0)
         return self._runner.run(request, deadline)
 
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/departures.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/departures.py
@@ -7,10 +7,10 @@
 
 from __future__ import annotations
 
-import time
 from collections import OrderedDict
 
 from kitekeel_daemon.gateway_metrics import GatewayMetrics
+from kitekeel_steering.clock import steady_seconds
 from kitekeel_steering.fleet_items import ItemKind
 from kitekeel_steering.fleet_view import ViewChange
 
@@ -40,7 +40,7 @@
         if not is_leaving or item.name in self._heard_at:
             return
         self._heard_at[item.name] = change.heard_at
-        self._metrics.note_departure("believed", time.monotonic() - change.heard_at)
+        self._metrics.note_departure("believed", steady_seconds() - change.heard_at)
         if len(self._heard_at) > _MOST_DEPARTURES:
             self._heard_at.popitem(last=False)
 
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/fleet_follower.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/fleet_follower.py
@@ -43,6 +43,8 @@
 _MOST_TOLD_FINDINGS = 500
 # A whole read takes some tenths of a second, 0.9 s at most seen on a slow link.
 _STORE_FIRST_SECONDS = 1.0
+# The longest way to the store and back takes 0.12 s.
+_ANSWER_SECONDS = 0.15
 
 
 class FleetRole(msgspec.Struct, frozen=True):
@@ -91,6 +93,7 @@
         self._told_findings: OrderedDict[str, int] = OrderedDict()
         self._duty = WatchDuty(clock, generator, role.all_start)
         self._is_watching = False
+        self._confirms_from = float("-inf")
         self._contact = contact = StoreContact(clock, record_heartbeat_seconds)
         self._probe = StoreProbe(store, self._on_probe_answer, self._on_probed, generator, contact)
         listeners = SyncListeners(
@@ -157,6 +160,18 @@
             self._on_contradiction,
         )
 
+    def check_anew(self, paused_seconds: float) -> None:
+        """Ask the store anew after this process did not run, as its watches may lead nowhere.
+
+        The probe that then shows the beliefs to be current comes after the watches, which are
+        answered at once where anything has changed.
+        """
+        self._contact.note_own_pause(paused_seconds)
+        for each in self._syncs.values():
+            each.restart()
+        self._confirms_from = self._clock.monotonic() + _ANSWER_SECONDS
+        asyncio.get_running_loop().call_later(_ANSWER_SECONDS, self._probe.ask_soon)
+
     def on_dependency(self, name: str, is_up: bool, reason: str) -> None:
         """Tell that something this daemon depends on is lost, and why, or is regained."""
         age = round(self._view.age_seconds(), 2)
@@ -180,6 +195,8 @@
 
     def _on_probe_answer(self) -> None:
         """Take the beliefs for current where the store would have told any change."""
+        if self._clock.monotonic() < self._confirms_from:
+            return
         if all(each.is_watching for each in self._syncs.values()):
             self._view.confirm()
 
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/fleet_news.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/fleet_news.py
@@ -69,6 +69,10 @@
         self.exchange.register(server)
         self.feed.register(server)
 
+    def ask_soon(self) -> None:
+        """Ask the others for news at once, where this daemon hears from them."""
+        self._subscription.ask_soon()
+
     def loops(self) -> list[Coroutine[None, None, None]]:
         """Return the loops to run until the daemon stops."""
         return [self._subscription.run()]
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/given_up_requests.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/given_up_requests.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
 from kitekeel_backends.forwarding import Forwarder
+from kitekeel_steering.clock import steady_seconds
 from kitekeel_steering.metrics import Metrics
 
 # By how much a back end may run past a deadline: it counts from arrival, the daemon from sending.
@@ -39,7 +39,7 @@
             deadline: monotonic time that the back end was given.
             free: gives the slot back.
         """
-        remaining = max(0.0, deadline - time.monotonic()) + _OVERRUN_SECONDS
+        remaining = max(0.0, deadline - steady_seconds()) + _OVERRUN_SECONDS
         timer = threading.Timer(remaining, free)
         timer.daemon = True
         timer.start()
@@ -60,7 +60,7 @@
     def _cancel(
         self, address: str, request_id: str, deadline: float, free: Callable[[], None]
     ) -> None:
-        if time.monotonic() > deadline + _OVERRUN_SECONDS:
+        if steady_seconds() > deadline + _OVERRUN_SECONDS:
             free()
         elif self._forwarder.cancel(address, request_id):
             self._metrics.increment("requests.cancelled")
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/line_budget.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/line_budget.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import time
 from collections import deque
 
+from kitekeel_steering.clock import steady_seconds
+
 
 class LineBudget:
     """So many lines within any second, wherever the second begins."""
@@ -15,7 +16,7 @@
 
     def try_take(self, lines: int, reserved: int = 0) -> bool:
         """Take lines, leaving so many reserved; tell whether there were enough."""
-        now = time.monotonic()
+        now = steady_seconds()
         while self._taken_at and self._taken_at[0] <= now - 1.0:
             self._taken_at.popleft()
         if len(self._taken_at) + lines > self._per_second - reserved:
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/request_runner.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/request_runner.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Callable, Iterator
 from functools import partial
 from http import HTTPStatus
@@ -14,6 +13,7 @@
 from kitekeel_callers.caller_request import CallerRequest
 from kitekeel_daemon.given_up_requests import GivenUpRequests
 from kitekeel_steering.admission import ServiceAdmission
+from kitekeel_steering.clock import steady_seconds
 from kitekeel_steering.errors import (
     ClassNotProvedError,
     ConnectFailedError,
@@ -79,7 +79,7 @@
             raise UnknownServiceError(f"no service '{request.service}'")
         priority_class = _proved_class(service, request)
         # The service's longest run is what keepers rely on when a holder falls silent.
-        deadline = min(deadline, time.monotonic() + service.longest_run_seconds)
+        deadline = min(deadline, steady_seconds() + service.longest_run_seconds)
         whole = min(request.deadline_seconds, service.longest_run_seconds)
         budget = self._budget(service.name)
         budget.note_request()
@@ -172,7 +172,7 @@
     def _send(self, hold: SlotHold) -> StreamedAnswer:
         """Send on a slot; the slot is given back here on failure, else when the answer ends."""
         back_end = self._find(hold.back_end)
-        started_at = time.monotonic()
+        started_at = steady_seconds()
         if back_end is None or not self._admission.may_start(hold):
             # The grant ended or the back end was drained between taking the slot and now.
             self._admission.release(hold)
@@ -189,7 +189,7 @@
                 self._deadline,
             )
         except BaseException as error:
-            self._note_failure(back_end, hold, error, time.monotonic() - started_at)
+            self._note_failure(back_end, hold, error, steady_seconds() - started_at)
             raise
         pieces = _SlotPieces(answer, hold, self._admission, started_at)
         return msgspec.structs.replace(answer, pieces=pieces)
@@ -213,8 +213,8 @@
 
     def _may_try_again(self, error: KitekeelError, tries: int) -> bool:
         if isinstance(error, _GrantEndedError):
-            return time.monotonic() < self._deadline
-        if tries >= _MOST_TRIES or time.monotonic() >= self._deadline:
+            return steady_seconds() < self._deadline
+        if tries >= _MOST_TRIES or steady_seconds() >= self._deadline:
             return False
         safe = isinstance(error, ConnectFailedError) or self._request.repeatable
         untouched = self._request.forwarded.body is None or isinstance(error, ConnectFailedError)
@@ -226,7 +226,7 @@
     def _may_retry_shed(self, tries: int) -> bool:
         if not self._request.repeatable or self._request.forwarded.body is not None:
             return False
-        if tries >= _MOST_TRIES or time.monotonic() >= self._deadline:
+        if tries >= _MOST_TRIES or steady_seconds() >= self._deadline:
             return False
         return self._budget.try_spend()
 
@@ -279,7 +279,7 @@
         if self._released:
             return
         self._released = True
-        self._admission.note_result(self._hold, succeeded, time.monotonic() - self._started_at)
+        self._admission.note_result(self._hold, succeeded, steady_seconds() - self._started_at)
         self._admission.release(self._hold)
 
 
--- /dev/null
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/view_changes.py
@@ -0,0 +1,56 @@
+"""Has every part of a gateway follow a change of what it believes about the fleet, and logs it."""
+
+from __future__ import annotations
+
+from kitekeel_backends.connection_pool import ConnectionPool
+from kitekeel_daemon.back_end_states import BackEndStates
+from kitekeel_daemon.decision_log import DecisionLog
+from kitekeel_daemon.departures import Departures
+from kitekeel_daemon.gateway_metrics import GatewayMetrics
+from kitekeel_daemon.process_ends import ProcessEnds
+from kitekeel_daemon.running_exchanges import RunningExchanges
+from kitekeel_steering.fleet_items import ItemKind
+from kitekeel_steering.fleet_view import ViewChange
+from kitekeel_steering.log_messages import ViewChanged
+
+
+class ViewChanges:
+    """Passes changes on; called on the event loop."""
+
+    def __init__(
+        self,
+        states: BackEndStates,
+        departures: Departures,
+        running: RunningExchanges,
+        ends: ProcessEnds,
+        pool: ConnectionPool,
+        metrics: GatewayMetrics,
+        log: DecisionLog,
+    ) -> None:
+        self._followers = (states, departures, running, ends)
+        self._pool = pool
+        self._metrics = metrics
+        self._log = log
+
+    def on_change(self, change: ViewChange) -> None:
+        """Take one change."""
+        item = change.item
+        for each in self._followers:
+            each.on_change(change)
+        if change.is_restart and item.back_end is not None:
+            self._pool.close_idle(item.back_end.address)
+            self._metrics.increment("view.back-ends-restarted")
+        if item.kind is ItemKind.BACK_END and item.removed:
+            self._metrics.increment("view.back-ends-removed")
+        self._log.state(
+            ViewChanged(
+                item=f"{item.kind.name.lower()} {item.name}".strip(),
+                revision=item.revision,
+                source=change.source,
+                removed=item.removed,
+                draining=item.back_end is not None and item.back_end.draining,
+                version=item.configuration.version if item.configuration is not None else None,
+                started_at_ms=item.back_end.started_at_ms if item.back_end is not None else 0,
+                restarted=change.is_restart,
+            )
+        )
--- a/packages/kitekeel-peers/src/kitekeel_peers/configuration_spread.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/configuration_spread.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Callable, Sequence
 from concurrent import futures
 
@@ -22,6 +21,7 @@
     SpreadTarget,
 )
 from kitekeel_peers.rpc import PeerClient, PeerServer
+from kitekeel_steering.clock import steady_seconds
 from kitekeel_steering.errors import PeerError
 from kitekeel_steering.model import Configuration, decode_configuration, encode_configuration
 
@@ -116,7 +116,7 @@
         parts = _split([each for each in targets if each.instance != self._own_instance])
         if not parts:
             return confirmed
-        deadline = time.monotonic() + seconds
+        deadline = steady_seconds() + seconds
         with futures.ThreadPoolExecutor(len(parts), thread_name_prefix="spread") as workers:
             for reached in workers.map(lambda part: self._relay(part, deadline), parts):
                 confirmed |= reached
@@ -126,7 +126,7 @@
         """Hand a part of the targets to its first member; if that is silent, to the next."""
         remaining = list(part)
         while remaining:
-            seconds = deadline - time.monotonic()
+            seconds = deadline - steady_seconds()
             if seconds < _LEAST_SECONDS_FOR_RELAY:
                 break
             head, *rest = remaining
--- a/packages/kitekeel-peers/src/kitekeel_peers/news_subscription.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/news_subscription.py
@@ -6,13 +6,13 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 from collections.abc import Callable
 
 from kitekeel_peers.view_exchange import ViewExchange
 from kitekeel_peers.watcher_choice import WatcherChoice
 from kitekeel_steering.errors import PeerError
+from kitekeel_steering.interruptible_sleep import InterruptibleSleep
 
 # A daemon that cannot yet steer requests asks more often.
 _INTERVAL_UNTIL_READY_SECONDS = 0.1
@@ -57,6 +57,11 @@
         self._random = generator
         self._on_news = on_news
         self._on_failure = on_failure
+        self._pause = InterruptibleSleep()
+
+    def ask_soon(self) -> None:
+        """Ask without waiting for the interval's end."""
+        self._pause.end()
 
     async def run(self) -> None:
         """Ask whenever that is needed, until cancelled; another one at once after a failure."""
@@ -66,7 +71,7 @@
                 ready = self._is_ready()
                 interval = _INTERVAL_SECONDS if ready else _INTERVAL_UNTIL_READY_SECONDS
                 jitter = self._random.uniform(1.0 - _JITTER_SHARE, 1.0 + _JITTER_SHARE)
-                await asyncio.sleep(interval * jitter)
+                await self._pause.sleep(interval * jitter)
 
     async def _ask_next(self) -> bool:
         """Ask one watcher; return false where another is to be asked at once."""
--- a/packages/kitekeel-peers/src/kitekeel_peers/object_exchange.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/object_exchange.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Callable
 
 import msgspec
@@ -14,6 +13,7 @@
 from kitekeel_peers.messages import MemberRecord
 from kitekeel_peers.neighbours import neighbours
 from kitekeel_peers.rpc import PeerClient, PeerServer
+from kitekeel_steering.clock import steady_seconds
 from kitekeel_steering.errors import PeerError
 from kitekeel_steering.object_overlap import ObjectOverlap, ObjectSample
 
@@ -89,7 +89,7 @@
 
     async def _compare_with(self, other: MemberRecord) -> None:
         request = ObjectsRequest(self._own_region, self._overlap.sample())
-        asked_at = time.monotonic()
+        asked_at = steady_seconds()
         try:
             reply = await asyncio.to_thread(
                 self._client.call,
@@ -100,7 +100,7 @@
                 _TIMEOUT_SECONDS,
             )
         except PeerError as error:
-            self._on_failure(other.peer_address, time.monotonic() - asked_at, error.message)
+            self._on_failure(other.peer_address, steady_seconds() - asked_at, error.message)
             return
         self._overlap.note_sample(reply.samples, other.region == self._own_region)
 
--- a/packages/kitekeel-platform/src/kitekeel_platform/configuration_store.py
+++ b/packages/kitekeel-platform/src/kitekeel_platform/configuration_store.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from kitekeel_platform.client import PlatformClient, VersionedValue, read_document
+from kitekeel_steering.clock import steady_seconds
 from kitekeel_steering.errors import (
     ConfigurationConflictError,
     ConfigurationOutcomeUnknownError,
@@ -77,7 +78,7 @@
             ConfigurationOutcomeUnknownError: the deadline passed with a write's answer lost.
             PlatformError: the deadline passed, and nothing was written.
         """
-        deadline = time.monotonic() + deadline_seconds
+        deadline = steady_seconds() + deadline_seconds
         pause = _FIRST_PAUSE_SECONDS
         may_be_written = False
         base: Configuration | None = None
@@ -95,9 +96,9 @@
             except WriteOutcomeUnknownError:
                 may_be_written = True
             except PlatformError:
-                if time.monotonic() >= deadline and not may_be_written:
+                if steady_seconds() >= deadline and not may_be_written:
                     raise
-            if time.monotonic() >= deadline:
+            if steady_seconds() >= deadline:
                 raise ConfigurationOutcomeUnknownError(
                     "the platform did not tell whether the change was written; "
                     f"repeat it with --command-id {command_id}",
--- a/packages/kitekeel-platform/src/kitekeel_platform/store_contact.py
+++ b/packages/kitekeel-platform/src/kitekeel_platform/store_contact.py
@@ -39,6 +39,11 @@
         if last is not None and now - last >= self._least_outage_seconds:
             self._lapses_until = now + self._lapse_seconds
 
+    def note_own_pause(self, seconds: float) -> None:
+        """Note that this process did not run for so long, which is no outage of the store."""
+        if self._answered_at is not None:
+            self._answered_at += seconds
+
     def note_unnoticed_outage(self) -> None:
         """Note that records must have lapsed in an outage that no call of this daemon met."""
         if self.lapse_seconds_left() == 0.0:
--- a/packages/kitekeel-platform/src/kitekeel_platform/store_probe.py
+++ b/packages/kitekeel-platform/src/kitekeel_platform/store_probe.py
@@ -15,6 +15,7 @@
 from kitekeel_platform.fleet_store import FleetStore
 from kitekeel_platform.store_contact import StoreContact
 from kitekeel_steering.errors import PlatformError
+from kitekeel_steering.interruptible_sleep import InterruptibleSleep
 
 _INTERVAL_SECONDS = 1.0
 _INTERVAL_WHILE_LOST_SECONDS = 0.3
@@ -47,6 +48,7 @@
         self._random = generator
         self._contact = contact
         self._is_needed = asyncio.Event()
+        self._pause = InterruptibleSleep()
         self.is_store_lost = False
 
     def follow(self, is_following: bool) -> None:
@@ -57,13 +59,17 @@
         self._is_needed.clear()
         self.is_store_lost = False
 
+    def ask_soon(self) -> None:
+        """Ask without waiting for the interval's end."""
+        self._pause.end()
+
     async def run(self) -> None:
         """Ask, whenever that is needed, until cancelled."""
         while True:
             await self._is_needed.wait()
             await self._ask()
             seconds = _INTERVAL_WHILE_LOST_SECONDS if self.is_store_lost else _INTERVAL_SECONDS
-            await asyncio.sleep(seconds * self._random.uniform(0.8, 1.2))
+            await self._pause.sleep(seconds * self._random.uniform(0.8, 1.2))
 
     async def _ask(self) -> None:
         seconds = _TIMEOUT_WHILE_LOST_SECONDS if self.is_store_lost else _TIMEOUT_SECONDS
--- a/packages/kitekeel-steering/src/kitekeel_steering/clock.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/clock.py
@@ -1,16 +1,32 @@
-"""Clocks handed to every part that measures time, so that none reads a global one."""
+"""The time by which everything is measured.
+
+A machine may be suspended for seconds. The operating system's monotonic clock does not count them,
+so leases, deadlines and ages of news would be believed for so much longer; the clock of its boots
+does. Parts that tests move through time take a :class:`Clock`; the others call
+:func:`steady_seconds`. A linter rule keeps the operating system's monotonic clock out.
+"""
 
 from __future__ import annotations
 
 import time
 from typing import Protocol
 
+_STEADY_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+
+
+def steady_seconds() -> float:
+    """Return seconds that never go back and go on while the machine is suspended."""
+    return time.clock_gettime(_STEADY_CLOCK)
+
 
 class Clock(Protocol):
     """Two readings of time, both in seconds."""
 
     def monotonic(self) -> float:
-        """Return a reading that never goes back; only differences mean anything."""
+        """Return a reading that never goes back and counts time spent suspended.
+
+        Only differences mean anything.
+        """
 
     def wall(self) -> float:
         """Return seconds since 1970, which other machines' clocks roughly share."""
@@ -20,8 +36,8 @@
     """The machine's own clocks."""
 
     def monotonic(self) -> float:
-        """Return the machine's monotonic reading."""
-        return time.monotonic()
+        """Return the machine's steady reading."""
+        return steady_seconds()
 
     def wall(self) -> float:
         """Return the machine's wall-clock reading."""
--- a/packages/kitekeel-steering/src/kitekeel_steering/request_phases.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/request_phases.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import enum
-import time
 from collections.abc import Mapping
 
+from kitekeel_steering.clock import steady_seconds
+
 
 class Phase(enum.Enum):
     """Where a request is; the value names it in counters and log lines."""
@@ -47,7 +48,7 @@
 
     def end(self) -> None:
         """End the present phase."""
-        now = time.monotonic()
+        now = steady_seconds()
         spent = max(0.0, now - self._entered_at)
         self._seconds[self._phase] = self._seconds.get(self._phase, 0.0) + spent
         self._entered_at = now
--- a/tests/crashing_back_end.py
+++ b/tests/crashing_back_end.py
@@ -62,6 +62,7 @@
         self._slots = slots
         self.version = version
         self.record = BackEndRecord(name, "search", self._address, "n1", slots)
+        self.opened = 0
         self.arrivals: list[Arrival] = []
         self.crashes: list[Arrival] = []
         self.seconds_by_part: dict[str, float] = defaultdict(lambda: 0.01)
@@ -109,6 +110,7 @@
         return False
 
     def connection_opened(self, connection: CallerConnection) -> None:
+        self.opened += 1
         self._connections.add(connection)
 
     def connection_closed(self, connection: CallerConnection) -> None:
--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -37,6 +37,7 @@
         self.is_silent = False
         self.deaf: set[tuple[str, FleetPart]] = set()
         self.cuts = 0
+        self.forgotten = 0
         self.changed = asyncio.Condition()
         self.calls_by_name: Counter[str] = Counter()
 
@@ -76,7 +77,17 @@
 
     def has_changed(self, part: FleetPart, after: int) -> bool:
         """Tell whether anything of a part was written or removed after a revision."""
-        return any(each.revision > after and part_of(each.kind) is part for each in self.history)
+        return bool(self.changes(part, after))
+
+    def changes(self, part: FleetPart, after: int) -> list[ViewItem]:
+        """Return what of a part was written or removed after a revision."""
+        return [
+            each for each in self.history if each.revision > after and part_of(each.kind) is part
+        ]
+
+    def forget_waiting_watches(self) -> None:
+        """Never answer the watches that wait now, as where their connections lead nowhere."""
+        self.forgotten += 1
 
     async def cut_watches(self) -> None:
         """End every waiting watch without an answer."""
@@ -111,39 +122,40 @@
         if store.is_silent:
             await asyncio.sleep(wait_seconds)
             raise PlatformUnavailableError("no answer in time")
-        found: list[ViewItem] = []
-        cuts = store.cuts
+        cuts, forgotten = store.cuts, store.forgotten
         told_from = after
         if (self._name, part) in store.deaf:
             store.deaf.discard((self._name, part))
             told_from = store.revision
 
         def arrived() -> bool:
-            if store.cuts != cuts:
-                return True
-            if told_from > after and not store.has_changed(part, told_from):
+            if store.forgotten != forgotten:
                 return False
-            if after < store.oldest or self._name in store.turned_away:
-                return True
-            found[:] = [
-                each
-                for each in store.history
-                if each.revision > after and part_of(each.kind) is part
-            ]
-            return bool(found)
+            if told_from > after and not store.has_changed(part, told_from):
+                return store.cuts != cuts
+            is_over = store.cuts != cuts or self._is_refused(after)
+            return is_over or store.has_changed(part, after)
 
         try:
             async with asyncio.timeout(wait_seconds), store.changed:
                 await store.changed.wait_for(arrived)
         except TimeoutError:
             return FleetItems((), after)
+        return self._told(part, after, is_cut=store.cuts != cuts)
+
+    def _told(self, part: FleetPart, after: int, is_cut: bool) -> FleetItems:
         self._check()
-        if store.cuts != cuts:
+        if is_cut:
             raise PlatformUnavailableError("the watch was cut")
-        if after < store.oldest:
+        if after < self._store.oldest:
             raise HistoryLostError("history lost")
+        found = self._store.changes(part, after)
         return FleetItems(tuple(found), found[-1].revision)
 
+    def _is_refused(self, after: int) -> bool:
+        """Tell whether a watch is to end without an answer: its history or its store is gone."""
+        return after < self._store.oldest or self._name in self._store.turned_away
+
     async def probe(self, seconds: float) -> None:
         self._check()
         if self._store.is_silent:
