A gateway's end does not wait for calls of daemons that do not answer

Cause: the stop obeys its deadline, but the end of the process then waits for the threads of calls that are still under way to others that do not answer, up to 1 s each. Class: waits that add up behind a deadline.

Change: the last step of a stop ends the calls under way and lets none begin. Why it holds: a closed channel ends its calls at once, so no thread of theirs outlives the stop.

The test's bound (3.0 s from the signal) stays.

--- a/packages/kitekeel-peers/src/kitekeel_peers/rpc.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/rpc.py
@@ -185,6 +185,7 @@
         self._most_channels = most_channels
         self._channels: dict[str, grpc.Channel] = {}
         self._lock = threading.Lock()
+        self._is_closed = False
 
     def call(
         self,
@@ -199,6 +200,8 @@
         Raises:
             PeerError: no answer in time or none that can be read, or the daemon refused.
         """
+        if self._is_closed:
+            raise PeerError(f"{method} at {address}: this daemon is ending")
         payload = msgspec.msgpack.encode(request)
         self._metrics.increment("peers.calls_sent")
         self._metrics.increment("peers.bytes_sent", len(payload))
@@ -229,7 +232,11 @@
             channel.close()
 
     def close(self) -> None:
-        """Close every channel."""
+        """End every call, also those under way, and let none begin.
+
+        A thread that waits for a frozen daemon would else keep the process from its end.
+        """
+        self._is_closed = True
         with self._lock:
             channels = list(self._channels.values())
             self._channels.clear()
