kitekeeld too knows a request again that ends back end after back end

What callers saw would be the same as in the gateway: each try of a caller, with an id of its own, went to up to three back ends, and nothing was learned from it. Found by looking for the same cause elsewhere; a repeat with the same key was never run again after an unknown outcome, so keyed requests were concerned where callers ask with new keys.

Change: the gateway's ledger and exchange serve kitekeeld as well, on an event loop of their own; request threads read which requests are quarantined and hand over what they saw. Refused with not-run, code ends-back-ends, Retry-After 60 s. Bodies of up to 64 KB are read before a slot is taken, so that their requests can be known again; longer ones, and those of unknown length, are not. Back ends of a configuration state no start, so each counts once: three different ones. Not kept in the platform's service: after the loss of all daemons together it is learned anew.

tests/test_request_guard: on the code before the request was sent to 12 back ends in 4 tries and 30 more in 10 (three each, by reading), none of its last 10 tries is sent now.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/daemon.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/daemon.py
@@ -24,6 +24,7 @@
 from kitekeel_daemon.platform_follower import Loop, PlatformFollower
 from kitekeel_daemon.pool_exchanges import PoolExchanges
 from kitekeel_daemon.queries import Queries
+from kitekeel_daemon.request_guard import RequestGuard
 from kitekeel_daemon.request_runner import RequestRunner
 from kitekeel_operators.endpoints import operator_application
 from kitekeel_peers.configuration_spread import ConfigurationSpread
@@ -151,6 +152,8 @@
             self._is_zone_watcher,
             self._polls_machines,
         )
+        self.guard = RequestGuard(self._clock, self.metrics, self.recorder)
+        self.guard.share(self.peer_client, self.membership.table, self.peer_server)
         self.spread.register(self.peer_server)
         self.membership.register(self.peer_server)
         self.keeper.register(self.peer_server)
@@ -169,7 +172,9 @@
         settings = self.settings.callers
         forwarder = Forwarder()
         signer = HomeTokenSigner(self.settings.peers.secret.encode())
-        runner = RequestRunner(self.spread.current, self.admissions.find, forwarder, self.metrics)
+        runner = RequestRunner(
+            self.spread.current, self.admissions.find, forwarder, self.metrics, self.guard
+        )
         idempotent = IdempotentRequests(
             signer,
             self.key_table,
@@ -239,6 +244,7 @@
             *self._platform_follower.loops(),
             probes.run,
             sender.run,
+            self.guard.run,
             self._run_pulls,
             self._run_keeper_review,
         ]
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/request_runner.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/request_runner.py
@@ -12,11 +12,14 @@
 from kitekeel_backends.forwarding import Forwarder
 from kitekeel_callers.caller_request import CallerRequest
 from kitekeel_daemon.given_up_requests import GivenUpRequests
+from kitekeel_daemon.known_body import read_ahead
+from kitekeel_daemon.request_guard import RequestGuard, identity_of
 from kitekeel_steering.admission import ServiceAdmission
 from kitekeel_steering.clock import steady_seconds
 from kitekeel_steering.errors import (
     ClassNotProvedError,
     ConnectFailedError,
+    ConnectionBrokenError,
     KitekeelError,
     NoRoomError,
     NotRunError,
@@ -46,6 +49,7 @@
         admission: returns the admission of a service.
         forwarder: sends requests.
         metrics: counts tries.
+        guard: tells which requests end back ends.
     """
 
     def __init__(
@@ -54,7 +58,9 @@
         admission: Callable[[str], ServiceAdmission],
         forwarder: Forwarder,
         metrics: Metrics,
+        guard: RequestGuard,
     ) -> None:
+        self._guard = guard
         self._configuration = configuration
         self._admission = admission
         self._forwarder = forwarder
@@ -78,6 +84,11 @@
         if service is None:
             raise UnknownServiceError(f"no service '{request.service}'")
         priority_class = _proved_class(service, request)
+        request, body = read_ahead(request)
+        suspicion = _Suspicion(
+            self._guard, service.name, identity_of(service.name, request.forwarded, body)
+        )
+        suspicion.check()
         # The service's longest run is what keepers rely on when a holder falls silent.
         deadline = min(deadline, steady_seconds() + service.longest_run_seconds)
         whole = min(request.deadline_seconds, service.longest_run_seconds)
@@ -94,6 +105,7 @@
             priority_class,
             deadline,
             whole * _LEAST_SHARE_OF_TIME,
+            suspicion,
         ).run()
 
     def _budget(self, service: str) -> RetryBudget:
@@ -101,6 +113,28 @@
             return self._budgets.setdefault(service, RetryBudget())
 
 
+class _Suspicion:
+    """What one request's tries tell of whether it ends back ends."""
+
+    def __init__(self, guard: RequestGuard, service: str, identity: str) -> None:
+        self._guard = guard
+        self._service = service
+        self._identity = identity
+
+    def check(self) -> None:
+        """Refuse the request where back ends end when they run it."""
+        self._guard.check(self._identity)
+
+    def note_broken(self, back_end: BackEnd, error: BaseException) -> None:
+        """Note an exchange that failed."""
+        if isinstance(error, ConnectionBrokenError):
+            self._guard.note_broken(self._identity, self._service, back_end)
+
+    def note_answered(self) -> None:
+        """Note an answer that came whole."""
+        self._guard.note_answered(self._identity)
+
+
 class _Tries:
     """The tries of one request."""
 
@@ -116,7 +150,9 @@
         priority_class: PriorityClass,
         deadline: float,
         least_seconds: float,
+        suspicion: _Suspicion,
     ) -> None:
+        self._suspicion = suspicion
         self._configuration = configuration
         self._admission = admission
         self._forwarder = forwarder
@@ -135,6 +171,7 @@
         tries = 0
         last_hold: SlotHold | None = None
         while True:
+            self._check()
             hold = self._acquire(last_hold)
             tries += 1
             try:
@@ -150,6 +187,12 @@
                 continue
             return answer
 
+    def _check(self) -> None:
+        try:
+            self._suspicion.check()
+        except NotRunError as error:
+            raise self._final(error) from error
+
     def _acquire(self, last_hold: SlotHold | None) -> SlotHold:
         self._request.phases.enter(Phase.SLOT)
         try:
@@ -191,7 +234,7 @@
         except BaseException as error:
             self._note_failure(back_end, hold, error, steady_seconds() - started_at)
             raise
-        pieces = _SlotPieces(answer, hold, self._admission, started_at)
+        pieces = _SlotPieces(answer, hold, self._admission, started_at, back_end, self._suspicion)
         return msgspec.structs.replace(answer, pieces=pieces)
 
     def _note_failure(
@@ -203,6 +246,7 @@
             self._admission.release(hold)
             return
         self._may_have_run = True
+        self._suspicion.note_broken(back_end, error)
         # The back end may be at work until the deadline it was given; so long the slot is taken.
         free = partial(self._admission.release, hold)
         if self._request.repeatable:
@@ -250,8 +294,16 @@
     """An answer's body; gives the slot back when the body ends, however it does."""
 
     def __init__(
-        self, answer: StreamedAnswer, hold: SlotHold, admission: ServiceAdmission, started_at: float
+        self,
+        answer: StreamedAnswer,
+        hold: SlotHold,
+        admission: ServiceAdmission,
+        started_at: float,
+        back_end: BackEnd,
+        suspicion: _Suspicion,
     ) -> None:
+        self._back_end = back_end
+        self._suspicion = suspicion
         self._answer = answer
         self._hold = hold
         self._admission = admission
@@ -262,9 +314,13 @@
         try:
             return next(self._answer.pieces)
         except StopIteration:
-            self._release(self._answer.status < _FIRST_SERVER_ERROR)
+            succeeded = self._answer.status < _FIRST_SERVER_ERROR
+            if succeeded:
+                self._suspicion.note_answered()
+            self._release(succeeded)
             raise
-        except BaseException:
+        except BaseException as error:
+            self._suspicion.note_broken(self._back_end, error)
             self._release(False)
             raise
 
--- a/packages/kitekeel-steering/src/kitekeel_steering/errors.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/errors.py
@@ -105,6 +105,12 @@
     code = "connect-failed"
 
 
+class EndsBackEndsError(NotRunError):
+    """Back ends end when they run the request, so it is kept from them."""
+
+    code = "ends-back-ends"
+
+
 class OutcomeUnknownError(KitekeelError):
     """The request may or may not have run; it must not be reported as not run."""
 
--- a/packages/kitekeel-steering/src/kitekeel_steering/request_identity.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/request_identity.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from hashlib import blake2b
 
 import xxhash
@@ -26,29 +27,38 @@
 
 def identify_target(request: ProxiedRequest) -> str:
     """Return the first part of a request's identity, which is cheap to work out."""
-    host = find_header(request.headers, b"host") or b""
-    return xxhash.xxh64_hexdigest(_SEPARATOR.join((request.method, host, request.target)))
+    return _target_hash(_target_parts(request))
 
 
 def identify(request: ProxiedRequest, names: HeaderNames) -> str:
     """Return the request's identity: its target's, and a digest of all that a back end gets."""
-    object_key = find_cookie(request.headers, names.affinity_cookie)
-    parts = (
-        request.method,
-        find_header(request.headers, b"host") or b"",
-        request.target,
-        object_key.encode("latin-1"),
+    content = (
+        find_cookie(request.headers, names.affinity_cookie).encode("latin-1"),
         find_header(request.headers, b"authorization") or b"",
         find_header(request.headers, b"content-type") or b"",
         request.body.start[:_IDENTIFYING_BODY_BYTES],
     )
+    return identify_parts(_target_parts(request), content)
+
+
+def identify_parts(target: Sequence[bytes], content: Sequence[bytes]) -> str:
+    """Return the identity of a request of which these parts are known."""
     digest = blake2b(digest_size=_DIGEST_BYTES)
-    for part in parts:
+    for part in (*target, *content):
         digest.update(len(part).to_bytes(8, "big"))
         digest.update(part)
-    return f"{identify_target(request)}-{digest.hexdigest()}"
+    return f"{_target_hash(target)}-{digest.hexdigest()}"
 
 
 def target_of(identity: str) -> str:
     """Return the target's part of an identity."""
     return identity[:_TARGET_LENGTH]
+
+
+def _target_parts(request: ProxiedRequest) -> tuple[bytes, bytes, bytes]:
+    host = find_header(request.headers, b"host") or b""
+    return request.method, host, request.target
+
+
+def _target_hash(target: Sequence[bytes]) -> str:
+    return xxhash.xxh64_hexdigest(_SEPARATOR.join(target))
--- a/tests/test_request_deadlines.py
+++ b/tests/test_request_deadlines.py
@@ -25,6 +25,8 @@
 import pytest
 import urllib3
 from loopback import free_address
+from search_runner import POOL, admission_with, caller_request, runner_at
+from search_runner import search_configuration as small_configuration
 
 from kitekeel_backends.forwarding import Forwarder
 from kitekeel_callers.answers import CODE_HEADER, OUTCOME_HEADER
@@ -40,7 +42,6 @@
 from kitekeel_callers.intake import Intake, StartResponse
 from kitekeel_daemon.homes import HttpRelay
 from kitekeel_daemon.phase_report import PhaseReport
-from kitekeel_daemon.request_runner import RequestRunner
 from kitekeel_lab.deployment import sample_text
 from kitekeel_steering.admission import ServiceAdmission
 from kitekeel_steering.clock import SystemClock
@@ -51,25 +52,13 @@
     NoRoomError,
     OutcomeUnknownError,
 )
-from kitekeel_steering.grant_messages import (
-    Allowance,
-    DemandKey,
-    ExchangeReply,
-    KeeperState,
-    PoolName,
-    Quota,
-)
-from kitekeel_steering.grant_table import HolderIdentity
-from kitekeel_steering.grant_timing import GrantTiming
 from kitekeel_steering.home_tokens import HomeToken, HomeTokenSigner, join_key
 from kitekeel_steering.http_messages import ForwardedRequest, StreamedAnswer
 from kitekeel_steering.key_table import KeyTable
 from kitekeel_steering.metrics import MemoryMetrics
-from kitekeel_steering.model import BackEnd, Configuration
 
 TOLERATED_SECONDS = 0.25
 _TRICKLED_BYTES = 25
-POOL = PoolName("search", "nl-noord")
 
 
 def forwarded(request_id: str = "r1") -> ForwardedRequest:
@@ -165,60 +154,6 @@
         assert time.monotonic() - started_at < 0.8 + TOLERATED_SECONDS
 
 
-def small_configuration(address: str) -> Configuration:
-    """The catalogue network with one back end, where a test's server listens."""
-    given = parse_configuration(sample_text("catalogue"))
-    back_end = next(
-        each
-        for each in given.back_ends
-        if (each.service, each.region) == (POOL.service, POOL.region)
-    )
-    local: BackEnd = msgspec.structs.replace(back_end, address=address)
-    return msgspec.structs.replace(given, back_ends=(local,), revision=1)
-
-
-def admission_with(configuration: Configuration, slots: int) -> ServiceAdmission:
-    identity = HolderIdentity("d1", POOL.region, 1)
-    admission = ServiceAdmission(
-        POOL.service, identity, SystemClock(), GrantTiming(), lambda _pool: None
-    )
-    admission.configure(configuration)
-    request = admission.prepare_exchange(POOL, True, False, 0.0)
-    service = configuration.find_service(POOL.service)
-    assert service is not None
-    admission.apply_reply(
-        POOL,
-        ExchangeReply(
-            request.sequence,
-            KeeperState.GRANTING,
-            (Allowance(configuration.back_ends[0].name, slots),),
-            tuple(Quota(DemandKey(each.name), 100) for each in service.classes),
-            1.0,
-        ),
-    )
-    return admission
-
-
-def caller_request(deadline_ms: int, request_id: str = "r1") -> CallerRequest:
-    environment = {
-        "REQUEST_METHOD": "GET",
-        "PATH_INFO": "/v1/services/search/x",
-        "HTTP_KITEKEEL_DEADLINE_MS": str(deadline_ms),
-        "HTTP_KITEKEEL_REQUEST_ID": request_id,
-        "HTTP_KITEKEEL_CLASS": "patron",
-    }
-    return RequestReader(RequestLimits(), POOL.region).read(environment)
-
-
-def runner_at(address: str, slots: int = 5) -> tuple[RequestRunner, ServiceAdmission]:
-    configuration = small_configuration(address)
-    admission = admission_with(configuration, slots)
-    runner = RequestRunner(
-        lambda: configuration, lambda _service: admission, Forwarder(), MemoryMetrics()
-    )
-    return runner, admission
-
-
 def test_the_caller_is_told_before_the_back_end_has_given_the_request_up() -> None:
     """Neither the request nor the question to give it up is answered."""
     with trickling_server(head_after=30.0, gap=1.0) as address:
--- a/tests/test_request_phases.py
+++ b/tests/test_request_phases.py
@@ -113,7 +113,7 @@
 
 def test_lines_of_late_requests_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
     now = time.monotonic()
-    monkeypatch.setattr("kitekeel_daemon.line_budget.time.monotonic", lambda: now)
+    monkeypatch.setattr("kitekeel_daemon.line_budget.steady_seconds", lambda: now)
     metrics = MemoryMetrics()
     report = PhaseReport(metrics, "d1")
     with logged_lines() as lines:
