--- a/features/environment.py
+++ b/features/environment.py
@@ -3,12 +3,6 @@
 from behave.model import Scenario
 from behave.runner import Context
 
-from kitekeel_lab.ports import skip_ports
-
-
-def before_all(context: Context) -> None:
-    skip_ports()
-
 
 def after_scenario(context: Context, scenario: Scenario) -> None:
     cluster = getattr(context, "cluster", None)
--- a/packages/kitekeel-lab/src/kitekeel_lab/cli.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/cli.py
@@ -25,7 +25,6 @@
 from kitekeel_lab.load_process import run_load_file
 from kitekeel_lab.platform_server import serve_platform
 from kitekeel_lab.policies import Policy, run_policy_daemon
-from kitekeel_lab.ports import skip_ports
 from kitekeel_lab.reference import reference as reference_page
 from kitekeel_lab.scale import run_scale
 from kitekeel_lab.scale_fit import fit_reports, plot_reports, read_reports
@@ -82,7 +81,6 @@
 
 def demo() -> int:
     """Run the demonstration."""
-    skip_ports()
     return run_demo()
 
 
@@ -111,7 +109,6 @@
     :param daemons: how many in all
     :param json: print JSON
     """
-    skip_ports()
     report = run_scale(daemons)
     if json:
         print(msgspec.json.format(msgspec.json.encode(report)).decode())
@@ -143,7 +140,6 @@
     :param minutes: how long load and faults go on
     :param json: print JSON
     """
-    skip_ports()
     report = run_chaos(seed, minutes)
     if json:
         print(msgspec.json.format(msgspec.json.encode(report)).decode())
@@ -172,7 +168,6 @@
     :param json: print JSON
     :param report: folder for plots
     """
-    skip_ports()
     if name in _BENCHES:
         return _print_bench(_BENCHES[name](), json)
     experiment = ExperimentRun(load_plan(name, deployment), seed)
--- a/packages/kitekeel-lab/src/kitekeel_lab/cluster.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/cluster.py
@@ -137,8 +137,14 @@
             self._controls[region] = control
             name = f"back-ends-{region}"
             self._spawn(name, ["-m", "kitekeel_lab", "back-ends", str(file), control])
-        for control in self._controls.values():
-            wait_until(partial(self._answers, f"{control}/records"), what="back ends")
+        for region, control in self._controls.items():
+            wait_until(partial(self._has_started, f"back-ends-{region}", control), what="back ends")
+
+    def _has_started(self, name: str, control: str) -> bool:
+        """Tell whether a process of back ends answers; one that has ended never will."""
+        if self.processes[name].poll() is not None:
+            raise ConditionTimeoutError(f"{name} has ended:\n{self.output(name)}")
+        return self._answers(f"{control}/records")
 
     def start_daemon(self, name: str) -> None:
         """Start a daemon process; a new instance each time."""
