A slot is not given, or is given back, when too little of a waiting request's time is left

Cause: time was looked at when a request began to wait. A slot that became free later was given to whoever stood first, whose thread might be seconds late to give up; and a thread that came late to a slot in time sent what could not be answered. Class: a decision carried out without looking again at what it rested on.

Change: slots pass over requests whose latest start is gone, which are refused as not run; a thread that comes too late gives its slot back to the next. Why it holds: both are decided under the lock that gives slots, by the same latest start.

--- a/packages/kitekeel-steering/src/kitekeel_steering/admission.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/admission.py
@@ -129,17 +129,29 @@
             self._serve()
             latest_start = deadline - max(least_seconds, self._times_of(class_name).slow_seconds())
             if waiter.hold is None and waiter.refusal is None:
+                waiter.latest_start = latest_start
                 self._refuse_if_hopeless(waiter, latest_start)
         if waiter.hold is None and waiter.refusal is None:
             self._wait(waiter, latest_start)
         with self._lock:
             self._leave(waiter)
+            self._give_back_late(waiter)
         if waiter.refusal is not None:
             raise waiter.refusal
         if waiter.hold is None:
             raise self._no_room(waiter.priority_class)
         return waiter.hold
 
+    def _give_back_late(self, waiter: Waiter) -> None:
+        """Give a slot back whose request's thread came too late to use it.
+
+        With too little processor time it may come seconds after the slot was given.
+        """
+        hold = waiter.hold
+        if hold is not None and self._clock.monotonic() > waiter.latest_start:
+            waiter.hold = None
+            self.release(hold)
+
     def release(self, hold: SlotHold) -> None:
         """Give a slot back and serve the next in the queue with it."""
         with self._lock:
@@ -283,8 +295,13 @@
         now = self._clock.monotonic()
         asked: set[PoolName] = set()
         for waiter in list(self._waiters):
-            if waiter.hold is None and waiter.refusal is None:
-                self._try_options(waiter, now, asked)
+            if waiter.hold is not None or waiter.refusal is not None:
+                continue
+            if now > waiter.latest_start:
+                # Its own thread is late to give up; the slot would be taken for nothing.
+                self._refuse(waiter, self._no_room(waiter.priority_class))
+                continue
+            self._try_options(waiter, now, asked)
         self._waiters = [each for each in self._waiters if not each.decided.is_set()]
         for pool in asked:
             self._on_demand(pool)
--- a/packages/kitekeel-steering/src/kitekeel_steering/waiter.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/waiter.py
@@ -21,6 +21,7 @@
         excluded: back ends that must not be chosen.
         noted: indices of the options whose pools count it as waiting.
         decided: set once there is a hold or a refusal.
+        latest_start: monotonic time after which a slot is of no use, once it waits.
     """
 
     def __init__(
@@ -40,6 +41,7 @@
         self.hold: SlotHold | None = None
         self.refusal: NotRunError | None = None
         self.decided = threading.Event()
+        self.latest_start = float("inf")
 
 
 class ServedRate:
