The soak plays a request that ends back ends, beside all its other faults

One caller sends it four times a second under new ids at any daemon; the back end starts again under its name and records a later start 0.3 s after it. Checked: once all faults are over it reaches back ends three times at most. It stands behind a proxy that accepts connections, so the end shows by the later start alone.

--- a/tests/soak/gateway_soak.py
+++ b/tests/soak/gateway_soak.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import itertools
 import random
 import sys
 import tempfile
@@ -22,7 +23,8 @@
 
 import defopt  # noqa: E402
 import msgspec  # noqa: E402
-from soak_caller import Attempt, SoakCaller  # noqa: E402
+from soak_back_end import CRASHING_TARGET  # noqa: E402
+from soak_caller import Attempt, SoakCaller, connect  # noqa: E402
 from soak_checks import find_breaches  # noqa: E402
 from soak_faults import SoakFaults  # noqa: E402
 from soak_fleet import SoakFleet  # noqa: E402
@@ -42,6 +44,9 @@
 # daemon that was asked 19 times.
 _CALM_PAUSE_SECONDS = 0.5
 _LEAST_CALM_SUCCESS = 0.95
+_CRASH_PAUSE_SECONDS = 0.25
+# What the users allow in all, later than some seconds after the third end.
+_MOST_LATE_CRASHES = 3
 
 
 class SoakReport(msgspec.Struct, frozen=True):
@@ -67,11 +72,19 @@
         folder: for settings and the daemons' logs.
         daemons: how many daemons there are.
         has_restarts: whether back ends start again under their names and records are spoilt.
+        has_crashes: whether one caller sends a request that ends each back end that runs it.
     """
 
     def __init__(
-        self, seed: int, seconds: float, folder: Path, daemons: int, has_restarts: bool
+        self,
+        seed: int,
+        seconds: float,
+        folder: Path,
+        daemons: int,
+        has_restarts: bool,
+        has_crashes: bool,
     ) -> None:
+        self._has_crashes = has_crashes
         self._seed = seed
         self._has_restarts = has_restarts
         self._daemons = daemons
@@ -90,6 +103,8 @@
         try:
             await fleet.start()
             callers = self._start_callers(fleet, stop)
+            if self._has_crashes:
+                callers.append(asyncio.create_task(self._ask_for_crashes(fleet, stop)))
             watcher = asyncio.create_task(self._watch_exits(fleet))
             faults = SoakFaults(fleet, self._random, self._has_restarts)
             await faults.run(self._seconds)
@@ -113,6 +128,37 @@
         ]
         return [asyncio.create_task(each.run(stop)) for each in self._callers]
 
+    async def _ask_for_crashes(self, fleet: SoakFleet, stop: asyncio.Event) -> None:
+        """Send the same request at any daemon again and again, each time under a new id."""
+        generator = random.Random(self._seed)
+        for number in itertools.count():
+            if stop.is_set():
+                return
+            daemon = generator.randrange(len(fleet.daemons))
+            name = f"{self._crash_name()}{number}"
+            attempt = Attempt(name, CRASHING_TARGET.decode(), daemon, fleet.now())
+            try:
+                connection = await connect(fleet.daemons[daemon].callers)
+            except (OSError, TimeoutError):
+                await asyncio.sleep(_CRASH_PAUSE_SECONDS)
+                continue
+            self._attempts.append(attempt)
+            await connection.ask(attempt)
+            attempt.ended_at = fleet.now()
+            connection.close()
+            await asyncio.sleep(_CRASH_PAUSE_SECONDS)
+
+    def _crash_name(self) -> str:
+        return f"s{self._seed}x"
+
+    def _check_crashes(self, fleet: SoakFleet, begin: float) -> None:
+        """Check that what ends back ends is kept from them once all faults are over."""
+        runs = [each for each in fleet.runs if each.request_id.startswith(self._crash_name())]
+        late = [each for each in runs if each.at > begin]
+        if len(late) > _MOST_LATE_CRASHES:
+            told = f"{len(late)} of {len(runs)} runs once all faults were over"
+            self._breaches.append(f"crashing: {told}")
+
     async def _watch_exits(self, fleet: SoakFleet) -> None:
         while True:
             fleet.note_own_exits()
@@ -132,8 +178,10 @@
         allowed = {each.instance for each in fleet.back_ends[1:] if each.zone != "n2"}
         wrong = [each for each in fleet.runs if each.at > begin and each.instance not in allowed]
         self._breaches += [f"drained: {each.request_id} ran at {each.instance}" for each in wrong]
-        calm = [each for each in self._attempts if each.sent_at > begin and each.ended_at]
+        ended = [each for each in self._attempts if each.sent_at > begin and each.ended_at]
+        calm = [each for each in ended if each.target != CRASHING_TARGET.decode()]
         self._check_success(fleet, calm)
+        self._check_crashes(fleet, begin)
 
     async def _ask_every_daemon(self, fleet: SoakFleet) -> None:
         """Let the calm time pass; besides the others, one caller asks each daemon alone.
@@ -192,10 +240,12 @@
     folder: Path,
     daemons: int = _DAEMONS,
     has_restarts: bool = False,
+    has_crashes: bool = False,
 ) -> SoakReport:
     """Run one soak and return its report."""
     folder.mkdir(parents=True, exist_ok=True)
-    return asyncio.run(GatewaySoak(seed, seconds, folder, daemons, has_restarts).run())
+    played = GatewaySoak(seed, seconds, folder, daemons, has_restarts, has_crashes)
+    return asyncio.run(played.run())
 
 
 def main(
@@ -205,6 +255,7 @@
     seconds: float = 15.0,
     daemons: int = _DAEMONS,
     restarts: bool = True,
+    crashes: bool = True,
 ) -> int:
     """Run soaks of several seeds one after the other; the exit status tells of breaches.
 
@@ -213,11 +264,12 @@
     :param seconds: how long faults are injected in each.
     :param daemons: how many daemons there are.
     :param restarts: back ends start again under their names and records are spoilt, too.
+    :param crashes: one caller sends a request that ends each back end that runs it, too.
     """
     failed = 0
     folder = Path(tempfile.mkdtemp(prefix="gateway-soak-"))
     for seed in range(first_seed, first_seed + seeds):
-        report = soak(seed, seconds, folder / str(seed), daemons, restarts)
+        report = soak(seed, seconds, folder / str(seed), daemons, restarts, crashes)
         print(
             f"seed {seed}: {report.requests} requests, {report.succeeded:.1%} succeeded, ", end=""
         )
--- a/tests/soak/soak_back_end.py
+++ b/tests/soak/soak_back_end.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from http import HTTPStatus
 
 import msgspec
@@ -14,6 +15,7 @@
 
 SERVICE = "search"
 SLOTS = 6
+CRASHING_TARGET = b"/unsafe/crash"
 _USUAL_SECONDS = 0.03
 _FIRST_START_MS = 1_783_133_796_000
 
@@ -34,6 +36,7 @@
         answers_lost: share of the answers that are lost after the request has run.
         work_factor: how many times as long as usual a request takes.
         started_at_ms: when its process started, as its record says.
+        on_crash: called when its process has ended under a request.
     """
 
     def __init__(self, instance: str, zone: str, address: str, runs: list[Run]) -> None:
@@ -44,6 +47,7 @@
         self.answers_lost = 0.0
         self.work_factor = 1.0
         self.started_at_ms = _FIRST_START_MS
+        self.on_crash: Callable[[SoakBackEnd], None] | None = None
         self._working = 0
         self._random = random.Random(instance)
 
@@ -83,6 +87,10 @@
         self.runs.append(Run(request_id.decode(), self.instance, loop.time()))
         self._working += 1
         start = self.started_at_ms
+        if request.target == CRASHING_TARGET and self.on_crash is not None:
+            self.start_again()
+            self.on_crash(self)
+            raise ConnectionLostError("the process ended under the request")
         try:
             await asyncio.sleep(self._random.expovariate(1 / _USUAL_SECONDS) * self.work_factor)
         finally:
--- a/tests/soak/soak_caller.py
+++ b/tests/soak/soak_caller.py
@@ -96,6 +96,17 @@
                 raise h11.RemoteProtocolError("closed without an answer")
 
 
+async def connect(address: str) -> CallerConnection:
+    """Open a connection to a daemon.
+
+    Raises:
+        OSError, TimeoutError: there is none.
+    """
+    host, _, port = address.rpartition(":")
+    async with asyncio.timeout(_CONNECT_SECONDS):
+        return CallerConnection(*await asyncio.open_connection(host, int(port)))
+
+
 class SoakCaller:
     """Sends one request after the other until told to stop.
 
@@ -133,18 +144,13 @@
         while not stop.is_set():
             daemon = self._random.choice(self._daemons)
             try:
-                connection = await self._connect(daemon)
+                connection = await connect(self._addresses[daemon])
             except (OSError, TimeoutError):
                 await asyncio.sleep(0.1)
                 continue
             await self._use(connection, daemon, stop)
             connection.close()
 
-    async def _connect(self, daemon: int) -> CallerConnection:
-        host, _, port = self._addresses[daemon].rpartition(":")
-        async with asyncio.timeout(_CONNECT_SECONDS):
-            return CallerConnection(*await asyncio.open_connection(host, int(port)))
-
     async def _use(self, connection: CallerConnection, daemon: int, stop: asyncio.Event) -> None:
         loop = asyncio.get_running_loop()
         for _ in range(self._random.randint(1, 30)):
--- a/tests/soak/soak_fleet.py
+++ b/tests/soak/soak_fleet.py
@@ -14,6 +14,8 @@
 
 _ZONES = ("n1", "n2")
 _READY_SECONDS = 15.0
+# From the end of a back end's process under a request until its next one has recorded itself.
+_RESTART_SECONDS = 0.3
 
 
 class SoakFleet:
@@ -32,6 +34,9 @@
             SoakBackEnd(f"b{number}", _ZONES[number % 2], free_address(), self.runs)
             for number in range(back_ends)
         ]
+        for each in self.back_ends:
+            each.on_crash = self._note_crash
+        self._crashes: set[asyncio.Task[None]] = set()
         self._proxied_addresses = [free_address() for _ in self.back_ends]
         self.back_end_proxies = [
             FaultProxy(listen, each.address)
@@ -119,6 +124,15 @@
         record = back_end.record(address, state)
         await self.store.put_json(f"servers/{back_end.instance}", record)
 
+    def _note_crash(self, back_end: SoakBackEnd) -> None:
+        task = asyncio.get_running_loop().create_task(self._record_restart(back_end))
+        self._crashes.add(task)
+        task.add_done_callback(self._crashes.discard)
+
+    async def _record_restart(self, back_end: SoakBackEnd) -> None:
+        await asyncio.sleep(_RESTART_SECONDS)
+        await self.write_record(back_end, self._states.get(back_end.instance, "ready"))
+
     async def spoil_record(self, back_end: SoakBackEnd, value: bytes) -> None:
         """Leave what another writer might in the place of a back end's record."""
         await self.store.put(f"servers/{back_end.instance}", value)
--- a/tests/soak/test_gateway_soak.py
+++ b/tests/soak/test_gateway_soak.py
@@ -39,6 +39,12 @@
     assert not report.breaches, (report.breaches, report.faults)
 
 
+def test_a_short_soak_with_a_request_that_ends_back_ends_breaks_no_promise(tmp_path: Path) -> None:
+    report = soak(7, 8.0, tmp_path, has_restarts=True, has_crashes=True)
+    assert report.requests > 500
+    assert not report.breaches, (report.breaches, report.faults)
+
+
 @contextlib.contextmanager
 def starting_daemon(folder: Path) -> Iterator[SoakDaemon]:
     """Start a daemon without a store or others; it is gone afterwards."""
