What was read once more of requests that end back ends

- A careful try for which no back end was to be had (its version still cold) was lost to the whole fleet: it is given back unless it was sent.
Test added, not played on the code before.
- A later start that was known before the probe's answer was missed: the exchange waits for either sign from its first moment.
- A write to the store that was refused by its condition was tried again without a pause; a record that cannot be read, as of another version, would have made that endless.
It waits, and leaves such records alone.
- A request whose quarantine changed because of another one's ends had no line; peers' news names its sender.
- kitekeeld's loop ends with its tasks.
The store's part has a name of its own (keepers are those of slots).

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/crash_guard.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/crash_guard.py
@@ -19,7 +19,7 @@
 from kitekeel_peers.crash_exchange import CrashExchange
 from kitekeel_peers.member_table import MemberTable
 from kitekeel_peers.rpc import PeerClient, PeerServer
-from kitekeel_platform.crash_record_keeper import CrashRecordKeeper
+from kitekeel_platform.crash_record_sync import CrashRecordSync
 from kitekeel_platform.fleet_store import DocumentFinding, FleetStore
 from kitekeel_steering.clock import Clock
 from kitekeel_steering.crash_ledger import (
@@ -54,12 +54,12 @@
 
     Attributes:
         identity: empty where nothing is known of the request.
-        version: the only version of back ends that it may be tried at; ``None`` for any.
+        careful_try: the one that it may have now, where it is quarantined.
     """
 
     admission: Admission
     identity: str = ""
-    version: str | None = None
+    careful_try: CarefulTry | None = None
 
 
 _FREE = Verdict(Admission.FREE)
@@ -83,7 +83,7 @@
         self.ledger = CrashLedger(clock, self._on_change)
         self.ends = ProcessEnds(names, clock, metrics, log, self._on_end)
         self._exchange: CrashExchange | None = None
-        self._keeper: CrashRecordKeeper | None = None
+        self._store_sync: CrashRecordSync | None = None
         self._clock = clock
         self._claims: dict[str, asyncio.Task[None]] = {}
         self._permits: dict[str, CarefulTry] = {}
@@ -101,19 +101,19 @@
         self._exchange = CrashExchange(self.ledger, client, table, loop, generator, on_failure)
         self._exchange.register(server)
 
-    def keep(
+    def keep_in_store(
         self,
         store: FleetStore,
-        must_follow: Callable[[], bool],
+        writes_for_others: Callable[[], bool],
         generator: random.Random,
         on_dependency: Callable[[str, bool, str], None],
         on_finding: Callable[[DocumentFinding], None],
     ) -> None:
-        """Keep in the store what must outlast the daemons; see :class:`CrashRecordKeeper`."""
-        self._keeper = CrashRecordKeeper(
+        """Keep in the store what must outlast the daemons; see :class:`CrashRecordSync`."""
+        self._store_sync = CrashRecordSync(
             store,
             self.ledger,
-            must_follow,
+            writes_for_others,
             generator,
             on_dependency,
             on_finding,
@@ -131,11 +131,14 @@
 
     def loops(self) -> list[Coroutine[None, None, None]]:
         """Return the loops to run until the daemon stops."""
-        found = [each.run() for each in (self._exchange, self._keeper) if each is not None]
+        found = [each.run() for each in (self._exchange, self._store_sync) if each is not None]
         return list(found)
 
-    def judge(self, request: ProxiedRequest, service: str) -> Verdict:
-        """Return what may be done with a request before it is sent, for the first time or again."""
+    def admit(self, request: ProxiedRequest, service: str) -> Verdict:
+        """Return what may be done with a request before it is sent, for the first time or again.
+
+        A careful try is handed out once; :meth:`give_back` returns one that was not sent.
+        """
         if not self.ledger.may_know(identify_target(request)):
             return _FREE
         identity = identify(request, self._names)
@@ -143,10 +146,14 @@
             return Verdict(Admission.FREE, identity)
         permit = self._permits.pop(identity, None)
         if permit is not None:
-            return Verdict(Admission.ONE_TRY, identity, permit.version)
+            return Verdict(Admission.ONE_TRY, identity, permit)
         self._claim_a_try(identity, service)
         return Verdict(Admission.REFUSED, identity)
 
+    def give_back(self, identity: str, careful_try: CarefulTry) -> None:
+        """Take back a careful try for which no back end was to be had."""
+        self._permits[identity] = careful_try
+
     def note_answered(self, request: ProxiedRequest) -> None:
         """Note that a back end answered a request whole, and not with a failure."""
         if not self.ledger.may_know(identify_target(request)):
@@ -173,19 +180,19 @@
         )
         if self._exchange is not None:
             self._exchange.tell(record)
-        if self._keeper is not None and (change.is_quarantined or record.epoch):
-            self._note_lasting(change, self._keeper)
+        if self._store_sync is not None and (change.is_quarantined or record.epoch):
+            self._note_lasting(change, self._store_sync)
 
-    def _note_lasting(self, change: LedgerChange, keeper: CrashRecordKeeper) -> None:
+    def _note_lasting(self, change: LedgerChange, store_sync: CrashRecordSync) -> None:
         if change.source in (OWN, OPERATOR):
-            keeper.note_found()
+            store_sync.note_found()
         elif change.source.startswith("peer"):
-            keeper.note_heard()
+            store_sync.note_heard()
 
     def _claim_a_try(self, identity: str, service: str) -> None:
         """Ask for the next careful try of the fleet, for when the caller comes again."""
         record = self.ledger.find(identity)
-        if record is None or identity in self._claims or self._keeper is None:
+        if record is None or identity in self._claims or self._store_sync is None:
             return
         versions = {
             each.version for each in self._view.back_ends(service).values() if not each.draining
@@ -193,12 +200,14 @@
         found = find_try(record, versions, self._clock.wall())
         if found is None:
             return
-        task = asyncio.get_running_loop().create_task(self._claim(identity, found, self._keeper))
+        task = asyncio.get_running_loop().create_task(
+            self._claim(identity, found, self._store_sync)
+        )
         self._claims[identity] = task
         task.add_done_callback(lambda _: self._claims.pop(identity, None))
 
-    async def _claim(self, identity: str, wanted: CarefulTry, keeper: CrashRecordKeeper) -> None:
-        is_granted = await keeper.claim_try(identity, wanted.reason)
+    async def _claim(self, identity: str, wanted: CarefulTry, store_sync: CrashRecordSync) -> None:
+        is_granted = await store_sync.claim_try(identity, wanted.reason)
         self._log.state(CrashTryClaimed(identity, wanted.reason, is_granted))
         if is_granted:
             self._permits[identity] = wanted
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/process_ends.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/process_ends.py
@@ -31,15 +31,17 @@
 _MOST_UNDECIDED_OF_ONE = 100
 
 
-class _Break(msgspec.Struct, frozen=True):
-    """An exchange that broke off.
+class _Break(msgspec.Struct, frozen=True, eq=False):
+    """An exchange that broke off; its request's body is not kept.
 
     Attributes:
         at: monotonic time in seconds.
         seconds: how long the exchange had been going on.
     """
 
-    request: ProxiedRequest
+    request_id: str
+    identity: str
+    caller: str
     record: BackEndRecord
     at: float
     seconds: float
@@ -77,8 +79,9 @@
         self, request: ProxiedRequest, record: BackEndRecord, sent_at: float, error: str
     ) -> None:
         """Note that an exchange broke off, and find out why without keeping its caller waiting."""
-        now = self._clock.monotonic()
-        found = _Break(request, record, now, now - sent_at, error)
+        found = self._break(request, record, sent_at, error)
+        self._forget_old()
+        self._undecided[record.instance].append(found)
         task = asyncio.get_running_loop().create_task(self._examine(found))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -87,8 +90,7 @@
         self, request: ProxiedRequest, record: BackEndRecord, sent_at: float, error: str
     ) -> None:
         """Note that an exchange was ended since the back end's process is known to be gone."""
-        now = self._clock.monotonic()
-        self._decide(_Break(request, record, now, now - sent_at, error), ProcessState.GONE)
+        self._decide(self._break(request, record, sent_at, error), ProcessState.GONE)
 
     def note_replaced(self, record: BackEndRecord) -> None:
         """Note that another process answers at a back end's address."""
@@ -99,11 +101,29 @@
         if change.is_restart:
             self._confirm(change.item.name)
 
+    def _break(
+        self, request: ProxiedRequest, record: BackEndRecord, sent_at: float, error: str
+    ) -> _Break:
+        now = self._clock.monotonic()
+        request_id = find_header(request.headers, self._names.request_id) or b""
+        return _Break(
+            request_id.decode("latin-1"),
+            identify(request, self._names),
+            request.caller_address,
+            record,
+            now,
+            now - sent_at,
+            error,
+        )
+
     async def _examine(self, found: _Break) -> None:
         state = await self._probe(found.record.address)
-        if state is not ProcessState.GONE:
-            self._forget_old()
-            self._undecided[found.record.instance].append(found)
+        undecided = self._undecided.get(found.record.instance, ())
+        if found not in undecided:
+            # Another sign of the process's end came first.
+            return
+        if state is ProcessState.GONE:
+            self._undecided[found.record.instance].remove(found)
         self._decide(found, state)
 
     async def _probe(self, address: str) -> ProcessState:
@@ -131,14 +151,12 @@
                 del self._undecided[instance]
 
     def _decide(self, found: _Break, state: ProcessState) -> None:
-        identity = identify(found.request, self._names)
         self._metrics.increment(f"back-ends.broken-{state.value}")
-        request_id = find_header(found.request.headers, self._names.request_id) or b""
         self._log.state(
             ExchangeBroken(
-                request=request_id.decode("latin-1"),
-                identity=identity,
-                caller=found.request.caller_address,
+                request=found.request_id,
+                identity=found.identity,
+                caller=found.caller,
                 back_end=found.record.instance,
                 started_at_ms=found.record.started_at_ms,
                 seconds=round(found.seconds, 3),
@@ -147,4 +165,4 @@
             )
         )
         if state is ProcessState.GONE:
-            self._on_end(identity, found.record)
+            self._on_end(found.identity, found.record)
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/request_guard.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/request_guard.py
@@ -57,12 +57,8 @@
     def run(self, stop: threading.Event) -> None:
         """Run the loop until told to stop."""
         asyncio.set_event_loop(self._loop)
-        exchange = self._loop.create_task(self._exchange.run()) if self._exchange else None
-        self._loop.run_until_complete(self._until(stop))
-        if exchange is not None:
-            exchange.cancel()
-        if self._exchange is not None:
-            self._exchange.close()
+        self._loop.run_until_complete(self._share_until(stop))
+        self._loop.close()
 
     def check(self, identity: str) -> None:
         """Let a request be sent, or refuse it.
@@ -100,9 +96,13 @@
         if state is ProcessState.GONE:
             self.ledger.note_end(identity, service, back_end.name, "")
 
-    async def _until(self, stop: threading.Event) -> None:
+    async def _share_until(self, stop: threading.Event) -> None:
+        sharing = self._loop.create_task(self._exchange.run()) if self._exchange else None
         while not stop.is_set():
             await asyncio.sleep(_STOP_POLL_SECONDS)
+        if sharing is not None and self._exchange is not None:
+            sharing.cancel()
+            self._exchange.close()
 
     def _on_change(self, change: LedgerChange) -> None:
         record = change.record
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/routed_request.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/routed_request.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from kitekeel_steering.crash_ledger import CarefulTry
 from kitekeel_steering.log_messages import LogMessage
 from kitekeel_steering.proxied_messages import ProxiedRequest
 from kitekeel_steering.routing import Route
@@ -18,8 +19,7 @@
         sends: how many back ends were chosen, reached or not.
         lines: its decisions so far, to be logged once it has ended.
         identity: the same for each try of the same request; empty where nothing is known of it.
-        is_one_try: whether it is quarantined and may be sent once nevertheless.
-        only_version: the software version of back ends that it may then be sent to, if any.
+        careful_try: the one send that it may have although it is quarantined.
     """
 
     request: ProxiedRequest
@@ -35,7 +35,6 @@
     sends: int = 0
     may_have_run: bool = False
     identity: str = ""
-    is_one_try: bool = False
-    only_version: str | None = None
+    careful_try: CarefulTry | None = None
     known: int = 0
     usable: int = 0
--- a/packages/kitekeel-peers/src/kitekeel_peers/crash_exchange.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/crash_exchange.py
@@ -40,11 +40,13 @@
     """Tells of records, and asks for others.
 
     Attributes:
+        sender: the sender's peer address, for the receiver's log.
         records: those that the receiver may lack.
         digest: over all records of the sender, to be told those that differ; ``None`` where only
             the records told here are to be answered.
     """
 
+    sender: str
     records: tuple[CrashRecord, ...] = ()
     digest: int | None = None
 
@@ -117,7 +119,7 @@
     async def _tell_all(self) -> None:
         """Tell what there is, without waiting for neighbours that do not answer."""
         while self._untold:
-            news = CrashNews(tuple(self._untold.values()))
+            news = CrashNews(self._own_address(), tuple(self._untold.values()))
             self._untold.clear()
             for each in self._neighbours():
                 call = self._loop.create_task(self._call(each, news))
@@ -130,7 +132,7 @@
         if not others:
             return
         other = self._random.choice(others)
-        reply = await self._call(other, CrashNews((), self._ledger.digest()))
+        reply = await self._call(other, CrashNews(self._own_address(), (), self._ledger.digest()))
         if reply is None:
             return
         self._has_compared = True
@@ -140,7 +142,7 @@
         own = self._ledger.records()
         lacking = tuple(each for each in own if theirs.get(each.identity) != each)
         if lacking:
-            await self._call(other, CrashNews(lacking))
+            await self._call(other, CrashNews(self._own_address(), lacking))
 
     async def _call(self, other: MemberRecord, news: CrashNews) -> CrashReply | None:
         """Tell one daemon and take over what it knows more; ``None`` where it did not answer."""
@@ -163,7 +165,7 @@
         return reply
 
     async def _reply(self, news: CrashNews) -> CrashReply:
-        self._ledger.merge(news.records, "peer")
+        self._ledger.merge(news.records, f"peer {news.sender}")
         if news.digest is not None:
             is_same = news.digest == self._ledger.digest()
             return CrashReply(() if is_same else self._ledger.records(), is_same)
@@ -171,6 +173,9 @@
         pairs = zip(own, news.records, strict=True)
         return CrashReply(tuple(mine for mine, told in pairs if mine is not None and mine != told))
 
+    def _own_address(self) -> str:
+        return self._table.own().peer_address
+
     def _neighbours(self) -> list[MemberRecord]:
         live = {each.instance: each for each in self._table.live()}
         return [live[name] for name in neighbours(self._table.own().instance, live)]
--- a/packages/kitekeel-platform/src/kitekeel_platform/crash_record_keeper.py
+++ b/packages/kitekeel-platform/src/kitekeel_platform/crash_record_sync.py
@@ -34,11 +34,11 @@
 DependencyListener = Callable[[str, bool, str], None]
 
 
-class CrashRecordKeeper:
-    """The task that keeps the store and one daemon's ledger alike.
+class CrashRecordSync:
+    """The task that keeps the store and one daemon's ledger in step.
 
     Args:
-        must_follow: tells whether this daemon is to write also what others have found.
+        writes_for_others: tells whether this daemon is to write also what others have found.
         on_dependency: told when the store begins to fail, why, and when it answers again.
         on_finding: told of each document that cannot be read.
         on_failed_claim: told why a claim was not written.
@@ -48,7 +48,7 @@
         self,
         store: FleetStore,
         ledger: CrashLedger,
-        must_follow: Callable[[], bool],
+        writes_for_others: Callable[[], bool],
         generator: random.Random,
         on_dependency: DependencyListener,
         on_finding: Callable[[DocumentFinding], None],
@@ -58,11 +58,12 @@
         self._on_failed_claim = on_failed_claim
         self._store = store
         self._ledger = ledger
-        self._must_follow = must_follow
+        self._writes_for_others = writes_for_others
         self._random = generator
         self._on_dependency = on_dependency
         self._is_failing = False
         self._has_stored = False
+        self._unreadable: frozenset[str] = frozenset()
         self._wanted = asyncio.Event()
 
     async def run(self) -> None:
@@ -71,6 +72,8 @@
             try:
                 await self._review()
             except RecordChangedError:
+                # Another daemon wrote meanwhile; its record is merged next.
+                await asyncio.sleep(self._random.uniform(0.0, _RETRY_SECONDS))
                 continue
             except PlatformError as error:
                 self._note(error.message)
@@ -85,7 +88,7 @@
 
     def note_heard(self) -> None:
         """Note that another daemon told of something that must last; it writes it itself."""
-        if self._must_follow():
+        if self._writes_for_others():
             seconds = self._random.uniform(
                 _LEAST_WAIT_FOR_OTHERS_SECONDS, _MOST_WAIT_FOR_OTHERS_SECONDS
             )
@@ -93,7 +96,7 @@
 
     async def _wait(self) -> None:
         """Wait until there is something to write, or for the next review of what is stored."""
-        must_review = self._has_stored and self._must_follow()
+        must_review = self._has_stored and self._writes_for_others()
         try:
             await asyncio.wait_for(self._wanted.wait(), _REVIEW_SECONDS if must_review else None)
         except TimeoutError:
@@ -140,14 +143,19 @@
         found = await self._store.crash_records()
         for finding in found.findings:
             self._on_finding(finding)
+        self._unreadable = frozenset(each.name for each in found.findings)
         self._has_stored = bool(found.records)
         self._ledger.merge((each.record for each in found.records), _SOURCE)
         return {each.record.identity: each for each in found.records}
 
     def _wanted_records(self, stored: dict[str, StoredCrashRecord]) -> list[CrashRecord]:
-        """Return what the store is to have: what is quarantined, and what became of the rest."""
+        """Return what the store is to have: what is quarantined, and what became of the rest.
+
+        Records that cannot be read are another version's, and are left alone.
+        """
         quarantined = {each.identity for each in self._ledger.quarantined()}
-        found = (self._ledger.find(each) for each in sorted({*quarantined, *stored}))
+        wanted = {*quarantined, *stored} - self._unreadable
+        found = (self._ledger.find(each) for each in sorted(wanted))
         return [each for each in found if each is not None]
 
     def _is_news(self, record: CrashRecord, stored: dict[str, StoredCrashRecord]) -> bool:
--- a/packages/kitekeel-steering/src/kitekeel_steering/crash_ledger.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/crash_ledger.py
@@ -98,7 +98,7 @@
 
 
 class LedgerChange(msgspec.Struct, frozen=True):
-    """A record that has grown.
+    """A record that has grown, or of which others tell now whether it is quarantined.
 
     Attributes:
         source: whose news it was: ``own``, ``operator``, ``store`` or ``peer ADDRESS``.
@@ -118,7 +118,7 @@
 
     Args:
         clock: its wall clock tells the ages of records.
-        on_change: called with each record that has grown.
+        on_change: called with each record that has grown or is judged otherwise than before.
     """
 
     def __init__(
@@ -211,10 +211,13 @@
             grown.append(merged)
         if not grown:
             return
+        former = self._quarantined
         self._bound()
         self._judge()
-        for each in grown:
-            self._on_change(LedgerChange(each, self.is_quarantined(each.identity), source))
+        changed = {each.identity for each in grown} | (former ^ self._quarantined)
+        for identity in sorted(changed & self._records.keys()):
+            record = self._records[identity]
+            self._on_change(LedgerChange(record, self.is_quarantined(identity), source))
 
     def _keep(self, record: CrashRecord) -> None:
         if record.identity not in self._records:
--- a/tests/crashing_back_end.py
+++ b/tests/crashing_back_end.py
@@ -50,7 +50,9 @@
         slots: int = 8,
         takes_new_names: bool = False,
         version: str = "",
+        cold_seconds: float = 0.0,
     ) -> None:
+        self._cold_seconds = cold_seconds
         self._store = store
         self._name = name
         self._takes_new_names = takes_new_names
@@ -84,6 +86,7 @@
             self._address,
             "n1",
             self._slots,
+            cold_seconds=self._cold_seconds,
             version=self.version,
             started_at_ms=_FIRST_START_MS + self._starts,
         )
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -227,6 +227,22 @@
     play(scenario)
 
 
+def test_a_try_for_which_no_back_end_was_to_be_had_is_not_lost() -> None:
+    """The new version's back end is cold, and its turn comes only after a while."""
+
+    async def scenario() -> None:
+        store, _, gateways = await crashing_fleet(gateways=1, back_ends=5)
+        await end_three_back_ends(gateways, "/unsafe/crash")
+        mended = await CrashingBackEnd(store, "m0", version="2", cold_seconds=20.0).start()
+        await until(lambda: _knows(gateways[0], "m0"), LONGEST_NEWS_SECONDS)
+        for _ in range(80):
+            await ask(gateways[0].callers, "/unsafe/crash", f"q{next(_ids)}")
+            await asyncio.sleep(0.05)
+        assert len(crashing_arrivals([mended], "/unsafe/crash")) == 1
+
+    play(scenario)
+
+
 def test_a_version_that_bears_the_request_releases_it_everywhere() -> None:
     async def scenario() -> None:
         store, _, gateways = await crashing_fleet(gateways=2, back_ends=3)
--- a/tests/test_process_ends.py
+++ b/tests/test_process_ends.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 from gateway_stand_ins import NAMES, RunningGateway, ask, fleet, play, until
 from loopback import free_address
 
@@ -52,3 +53,23 @@
         assert metrics.count("back-ends.broken-gone") == 0
 
     play(scenario)
+
+
+def test_a_later_start_of_the_process_shows_its_end_whenever_it_is_known() -> None:
+    """Before the connection has told anything, and after it has found the next process there."""
+
+    async def scenario() -> None:
+        for waits in (0.0, 0.5):
+            store, back_ends = await fleet(1)
+            back_ends[0].loses_answers = True
+            started = msgspec.structs.replace(back_ends[0].record, started_at_ms=1_000)
+            await store.put_back_end(started)
+            entry = await RunningGateway(store, "g0").start()
+            await ask(entry.callers, "/unsafe/a", "r1")
+            await asyncio.sleep(waits)
+            await store.put_back_end(msgspec.structs.replace(started, started_at_ms=2_000))
+            metrics = entry.gateway.metrics
+            assert await until(lambda: metrics.count("back-ends.broken-gone") == 1, 3.0)  # noqa: B023
+            await RunningGateway.kill_all()
+
+    play(scenario)
