Nothing is tried while it may take half of a service

Cause: a try was allowed whatever the service had left. Change: none while fewer than three back ends may be used.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/crash_guard.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/crash_guard.py
@@ -63,6 +63,8 @@
 
 
 _FREE = Verdict(Admission.FREE)
+# A try may end a back end: callers of a service that has fewer would lose half of it or more.
+_LEAST_BACK_ENDS_FOR_A_TRY = 3
 
 
 class CrashGuard:
@@ -194,9 +196,12 @@
         record = self.ledger.find(identity)
         if record is None or identity in self._claims or self._store_sync is None:
             return
-        versions = {
-            each.version for each in self._view.back_ends(service).values() if not each.draining
-        }
+        usable = [
+            each for each in self._view.back_ends(service).values() if self._view.may_receive(each)
+        ]
+        if len(usable) < _LEAST_BACK_ENDS_FOR_A_TRY:
+            return
+        versions = {each.version for each in usable}
         found = find_try(record, versions, self._clock.wall())
         if found is None:
             return
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -27,7 +27,15 @@
 import msgspec
 import pytest
 from crashing_back_end import Arrival, CrashingBackEnd
-from gateway_stand_ins import SECRET, RunningGateway, ask, configuration, play, until
+from gateway_stand_ins import (
+    SECRET,
+    RunningGateway,
+    ask,
+    configuration,
+    draining,
+    play,
+    until,
+)
 from memory_store import MemoryStore
 
 from kitekeel_operators.client import OperatorRefusedError
@@ -243,6 +251,26 @@
     play(scenario)
 
 
+def test_nothing_is_tried_where_it_may_take_half_of_a_service() -> None:
+    async def scenario() -> None:
+        store, back_ends, gateways = await crashing_fleet(gateways=1, back_ends=2)
+        while not quarantined(gateways[0]):
+            await ask(gateways[0].callers, "/unsafe/crash", f"q{next(_ids)}")
+            await asyncio.sleep(0.3)
+        await store.put_back_end(draining(back_ends[0].record))
+        mended = await CrashingBackEnd(store, "m0", version="2").start()
+        await until(lambda: _knows(gateways[0], "m0"), LONGEST_NEWS_SECONDS)
+        assert await sends_after(gateways, [mended], "/unsafe/crash") == 0
+        another = await CrashingBackEnd(store, "m1", version="2").start()
+        await until(lambda: _knows(gateways[0], "m1"), LONGEST_NEWS_SECONDS)
+        for _ in range(20):
+            await ask(gateways[0].callers, "/unsafe/crash", f"q{next(_ids)}")
+            await asyncio.sleep(0.02)
+        assert len(crashing_arrivals([mended, another], "/unsafe/crash")) == 1
+
+    play(scenario)
+
+
 def test_a_version_that_bears_the_request_releases_it_everywhere() -> None:
     async def scenario() -> None:
         store, _, gateways = await crashing_fleet(gateways=2, back_ends=3)
