--- a/tests/test_process_stop.py
+++ b/tests/test_process_stop.py
@@ -74,6 +74,18 @@
         return self.has_logged(message_type)
 
 
+def wait_until_caught(process: subprocess.Popen[bytes], number: signal.Signals) -> bool:
+    """Wait until a process has a handler for a signal; tell whether it had in time."""
+    deadline = time.monotonic() + _START_SECONDS
+    while time.monotonic() < deadline:
+        lines = Path(f"/proc/{process.pid}/status").read_text().splitlines()
+        caught = next(int(line.split()[1], 16) for line in lines if line.startswith("SigCgt"))
+        if caught & (1 << (number - 1)):
+            return True
+        time.sleep(0.02)
+    return False
+
+
 @pytest.mark.parametrize("attempt", range(3))
 def test_a_daemon_that_was_paused_when_it_was_told_to_stop_leaves(
     tmp_path: Path, attempt: int
@@ -154,7 +166,8 @@
 def test_a_stand_in_that_was_paused_when_it_was_told_to_stop_ends(attempt: int) -> None:
     process = start_python(["-m", "kitekeel_lab", "platform", free_address()], subprocess.DEVNULL)
     try:
-        time.sleep(3.0)
+        # Until it listens to signals they end it at once, which is no stop of its own.
+        assert wait_until_caught(process, signal.SIGTERM)
         for number in (signal.SIGSTOP, signal.SIGTERM, signal.SIGCONT):
             process.send_signal(number)
             time.sleep(_PAUSE_SECONDS)
