--- a/features/environment.py
+++ b/features/environment.py
@@ -3,6 +3,9 @@
 from behave.model import Scenario
 from behave.runner import Context
 
+_KINDS = ("request-unknown", "request-late")
+_MOST_LINES = 50
+
 
 def after_scenario(context: Context, scenario: Scenario) -> None:
     cluster = getattr(context, "cluster", None)
@@ -11,7 +14,14 @@
     if scenario.status.name not in ("passed",):
         for daemon in cluster.deployment.daemons:
             if daemon.name in cluster.processes:
-                print(f"--- {daemon.name}\n{cluster.output(daemon.name)[-2000:]}")
+                output = cluster.output(daemon.name)
+                print(f"--- {daemon.name}\n{_failed_requests(output)}\n{output[-2000:]}")
     for proxy in getattr(context, "proxies", []):
         proxy.close()
     cluster.close()
+
+
+def _failed_requests(output: str) -> str:
+    """Return the lines that tell where the time of late and unknown requests went."""
+    lines = [line for line in output.splitlines() if any(kind in line for kind in _KINDS)]
+    return "\n".join(lines[-_MOST_LINES:])
