Mere suspects cost the store nothing, and little between daemons

Cause, found by reading: a record that had once been cleared counted as one that must last, so that each further end or answer of a hot, harmless request beside crashes had every daemon read the store's records anew, without a pause; a caller whose quarantined request met a failing store had a claim made for each of its tries; a suspect that never came again had daemons compare every second for ten minutes.

Change: the store is concerned with what is quarantined or stored already, at most every 0.5 s; one claim for a request in 2 s; comparisons every 5 s once nothing has grown for 10 s and nothing is quarantined.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/crash_guard.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/crash_guard.py
@@ -65,6 +65,7 @@
 _FREE = Verdict(Admission.FREE)
 # A try may end a back end: callers of a service that has fewer would lose half of it or more.
 _LEAST_BACK_ENDS_FOR_A_TRY = 3
+_CLAIM_PAUSE_SECONDS = 2.0
 
 
 class CrashGuard:
@@ -182,14 +183,12 @@
         )
         if self._exchange is not None:
             self._exchange.tell(record)
-        if self._store_sync is not None and (change.is_quarantined or record.epoch):
-            self._note_lasting(change, self._store_sync)
-
-    def _note_lasting(self, change: LedgerChange, store_sync: CrashRecordSync) -> None:
+        if self._store_sync is None:
+            return
         if change.source in (OWN, OPERATOR):
-            store_sync.note_found()
+            self._store_sync.note_found(change)
         elif change.source.startswith("peer"):
-            store_sync.note_heard()
+            self._store_sync.note_heard(change)
 
     def _claim_a_try(self, identity: str, service: str) -> None:
         """Ask for the next careful try of the fleet, for when the caller comes again."""
@@ -216,3 +215,6 @@
         self._log.state(CrashTryClaimed(identity, wanted.reason, is_granted))
         if is_granted:
             self._permits[identity] = wanted
+            return
+        # Meanwhile no other claim is made for it, however often its caller comes.
+        await asyncio.sleep(_CLAIM_PAUSE_SECONDS)
--- a/packages/kitekeel-peers/src/kitekeel_peers/crash_exchange.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/crash_exchange.py
@@ -25,6 +25,9 @@
 
 CRASHES = "Crashes"
 _COMPARE_SECONDS = 1.0
+# While there are only suspects of some time ago, which mostly were beside and never come again.
+_CALM_COMPARE_SECONDS = 5.0
+_CALM_AFTER_SECONDS = 10.0
 _FIRST_COMPARE_SECONDS = 0.1
 # Ends often come in series; one call tells several.
 _JOIN_SECONDS = 0.05
@@ -91,6 +94,7 @@
         self._threads = ThreadPoolExecutor(_CALLS_AT_ONCE, thread_name_prefix="crashes")
         self._calls: set[asyncio.Task[CrashReply | None]] = set()
         self._has_compared = False
+        self._grown_at = float("-inf")
 
     def register(self, server: PeerServer) -> None:
         """Serve the method."""
@@ -99,6 +103,7 @@
 
     def tell(self, record: CrashRecord) -> None:
         """Tell the neighbours of a record that has grown; called on the event loop."""
+        self._grown_at = self._loop.time()
         self._untold[record.identity] = record
         if self._telling is None or self._telling.done():
             self._telling = self._loop.create_task(self._tell_all())
@@ -106,12 +111,20 @@
     async def run(self) -> None:
         """Compare with a neighbour in turn, until cancelled."""
         while True:
-            if not self._has_compared or not self._ledger.is_empty():
+            if not self._has_compared or self._ledger.has_suspects():
                 await self._compare_with_a_neighbour()
-            seconds = _COMPARE_SECONDS if self._has_compared else _FIRST_COMPARE_SECONDS
+            seconds = self._interval_seconds()
             jitter = self._random.uniform(1.0 - _JITTER_SHARE, 1.0 + _JITTER_SHARE)
             await asyncio.sleep(seconds * jitter)
 
+    def _interval_seconds(self) -> float:
+        if not self._has_compared:
+            return _FIRST_COMPARE_SECONDS
+        is_calm = self._loop.time() - self._grown_at > _CALM_AFTER_SECONDS
+        if is_calm and not self._ledger.quarantined():
+            return _CALM_COMPARE_SECONDS
+        return _COMPARE_SECONDS
+
     def close(self) -> None:
         """Tell nobody any more."""
         self._threads.shutdown(wait=False, cancel_futures=True)
--- a/packages/kitekeel-platform/src/kitekeel_platform/crash_record_sync.py
+++ b/packages/kitekeel-platform/src/kitekeel_platform/crash_record_sync.py
@@ -18,7 +18,7 @@
     RecordChangedError,
     StoredCrashRecord,
 )
-from kitekeel_steering.crash_ledger import CrashLedger, CrashRecord
+from kitekeel_steering.crash_ledger import CrashLedger, CrashRecord, LedgerChange
 from kitekeel_steering.errors import PlatformError
 
 _NAME = "store/crash-records"
@@ -30,6 +30,8 @@
 _LEAST_WAIT_FOR_OTHERS_SECONDS = 1.0
 _MOST_WAIT_FOR_OTHERS_SECONDS = 3.0
 _MOST_WRITES_OF_ONE_REVIEW = 50
+# Ends often come in series; one review writes several.
+_LEAST_PAUSE_SECONDS = 0.5
 
 DependencyListener = Callable[[str, bool, str], None]
 
@@ -62,7 +64,7 @@
         self._random = generator
         self._on_dependency = on_dependency
         self._is_failing = False
-        self._has_stored = False
+        self._stored: frozenset[str] = frozenset()
         self._unreadable: frozenset[str] = frozenset()
         self._wanted = asyncio.Event()
 
@@ -82,21 +84,27 @@
             self._note("")
             await self._wait()
 
-    def note_found(self) -> None:
-        """Note that this daemon has found something that must last."""
-        self._wanted.set()
+    def note_found(self, change: LedgerChange) -> None:
+        """Note what this daemon or its operator has found."""
+        if self._must_last(change):
+            self._wanted.set()
 
-    def note_heard(self) -> None:
-        """Note that another daemon told of something that must last; it writes it itself."""
-        if self._writes_for_others():
+    def note_heard(self, change: LedgerChange) -> None:
+        """Note what another daemon told, which writes it itself if it must last."""
+        if self._must_last(change) and self._writes_for_others():
             seconds = self._random.uniform(
                 _LEAST_WAIT_FOR_OTHERS_SECONDS, _MOST_WAIT_FOR_OTHERS_SECONDS
             )
             asyncio.get_running_loop().call_later(seconds, self._wanted.set)
 
+    def _must_last(self, change: LedgerChange) -> bool:
+        """Tell whether the store is concerned; of mere suspects it knows nothing."""
+        return change.is_quarantined or change.record.identity in self._stored
+
     async def _wait(self) -> None:
         """Wait until there is something to write, or for the next review of what is stored."""
-        must_review = self._has_stored and self._writes_for_others()
+        await asyncio.sleep(_LEAST_PAUSE_SECONDS)
+        must_review = bool(self._stored) and self._writes_for_others()
         try:
             await asyncio.wait_for(self._wanted.wait(), _REVIEW_SECONDS if must_review else None)
         except TimeoutError:
@@ -144,7 +152,7 @@
         for finding in found.findings:
             self._on_finding(finding)
         self._unreadable = frozenset(each.name for each in found.findings)
-        self._has_stored = bool(found.records)
+        self._stored = frozenset(each.record.identity for each in found.records)
         self._ledger.merge((each.record for each in found.records), _SOURCE)
         return {each.record.identity: each for each in found.records}
 
--- a/packages/kitekeel-steering/src/kitekeel_steering/crash_ledger.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/crash_ledger.py
@@ -138,6 +138,10 @@
         """Tell whether there is no record at all."""
         return not self._records
 
+    def has_suspects(self) -> bool:
+        """Tell whether there is a request that was not found harmless since its last end."""
+        return any(each.ends for each in self._records.values())
+
     def is_quarantined(self, identity: str) -> bool:
         """Tell whether the request is not to be sent to back ends."""
         return identity in self._quarantined
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -297,6 +297,29 @@
     return entry.gateway.view.find_back_end(instance) is not None
 
 
+def test_mere_suspects_cost_the_store_nothing() -> None:
+    """Back ends end by themselves while many requests run: each daemon reads once, at its start."""
+
+    async def scenario() -> None:
+        store, back_ends, gateways = await crashing_fleet(gateways=2, back_ends=6)
+        many = Load("/safe/slow", 60.0, "", [])
+        tasks: list[asyncio.Task[None]] = []
+
+        async def end_in_turn() -> None:
+            for each in back_ends:
+                tasks.append(asyncio.create_task(each.crash()))
+                await asyncio.sleep(0.5)
+
+        async with asyncio.TaskGroup() as group:
+            group.create_task(end_in_turn())
+            group.create_task(many.run(gateways, 3.5))
+        calls = [each.gateway.metrics.store_calls("read-crash-records") for each in gateways]
+        assert calls == [1, 1]
+        assert not store.crash_records
+
+    play(scenario)
+
+
 def test_an_operator_sees_the_evidence_and_releases_the_request() -> None:
     async def scenario() -> None:
         _, _, gateways = await crashing_fleet(gateways=2, back_ends=5)
