Lines of requests that end back ends: own findings and verdicts alone

Every daemon wrote a line for each suspect that any other had found, so that a mass of ends could crowd out other lines of state.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/crash_guard.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/crash_guard.py
@@ -170,6 +170,22 @@
     def _on_change(self, change: LedgerChange) -> None:
         record = change.record
         self._metrics.increment(f"crashes.records-{change.source.partition(' ')[0]}")
+        self._tell(change)
+        if self._exchange is not None:
+            self._exchange.tell(record)
+        if self._store_sync is None:
+            return
+        if change.source in (OWN, OPERATOR):
+            self._store_sync.note_found(change)
+        elif change.source.startswith("peer"):
+            self._store_sync.note_heard(change)
+
+    def _tell(self, change: LedgerChange) -> None:
+        """Log a change; mere suspects of others have lines at those who found them."""
+        record = change.record
+        is_verdict = change.is_quarantined or change.was_quarantined
+        if change.source not in (OWN, OPERATOR) and not is_verdict:
+            return
         self._log.state(
             CrashRecordChanged(
                 identity=record.identity,
@@ -181,14 +197,6 @@
                 source=change.source,
             )
         )
-        if self._exchange is not None:
-            self._exchange.tell(record)
-        if self._store_sync is None:
-            return
-        if change.source in (OWN, OPERATOR):
-            self._store_sync.note_found(change)
-        elif change.source.startswith("peer"):
-            self._store_sync.note_heard(change)
 
     def _claim_a_try(self, identity: str, service: str) -> None:
         """Ask for the next careful try of the fleet, for when the caller comes again."""
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/request_guard.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/request_guard.py
@@ -20,7 +20,7 @@
 from kitekeel_peers.member_table import MemberTable
 from kitekeel_peers.rpc import PeerClient, PeerServer
 from kitekeel_steering.clock import Clock
-from kitekeel_steering.crash_ledger import CrashLedger, LedgerChange
+from kitekeel_steering.crash_ledger import OWN, CrashLedger, LedgerChange
 from kitekeel_steering.errors import EndsBackEndsError
 from kitekeel_steering.http_messages import ForwardedRequest
 from kitekeel_steering.metrics import Metrics
@@ -106,9 +106,11 @@
 
     def _on_change(self, change: LedgerChange) -> None:
         record = change.record
-        state = "quarantined" if change.is_quarantined else "not quarantined"
-        ends = f"{len(record.ends)} back ends ended under {record.identity}"
-        self._recorder.add("crash-record", f"{ends} ({record.service}): {state}, {change.source}")
+        if change.source == OWN or change.is_quarantined or change.was_quarantined:
+            state = "quarantined" if change.is_quarantined else "not quarantined"
+            ends = f"{len(record.ends)} back ends ended under {record.identity}"
+            text = f"{ends} ({record.service}): {state}, {change.source}"
+            self._recorder.add("crash-record", text)
         if self._exchange is not None:
             self._exchange.tell(record)
 
--- a/packages/kitekeel-steering/src/kitekeel_steering/crash_ledger.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/crash_ledger.py
@@ -101,11 +101,13 @@
     """A record that has grown, or of which others tell now whether it is quarantined.
 
     Attributes:
+        was_quarantined: whether it was before.
         source: whose news it was: ``own``, ``operator``, ``store`` or ``peer ADDRESS``.
     """
 
     record: CrashRecord
     is_quarantined: bool
+    was_quarantined: bool
     source: str
 
 
@@ -218,10 +220,12 @@
         former = self._quarantined
         self._bound()
         self._judge()
+        verdicts = (self._quarantined, former)
         changed = {each.identity for each in grown} | (former ^ self._quarantined)
         for identity in sorted(changed & self._records.keys()):
             record = self._records[identity]
-            self._on_change(LedgerChange(record, self.is_quarantined(identity), source))
+            is_quarantined, was_quarantined = (identity in each for each in verdicts)
+            self._on_change(LedgerChange(record, is_quarantined, was_quarantined, source))
 
     def _keep(self, record: CrashRecord) -> None:
         if record.identity not in self._records:
