--- a/packages/kitekeel-daemon/src/kitekeel_daemon/request_guard.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/request_guard.py
@@ -32,7 +32,7 @@
 
 _PROBE_TIMEOUT_SECONDS = 0.7
 _STOP_POLL_SECONDS = 0.2
-# A new configuration or another daemon's news may release the request; sooner is of no use.
+# An answer at another daemon may release the request; sooner is of no use.
 _RETRY_AFTER_SECONDS = 60.0
 
 
