Tenants: API keys, identity towards back ends, homes, and limits over all daemons

Cause: the configuration's tenants were passed over, so that every request ran without a tenant, with keys that never were or were taken away, outside of its tenant's homes and without a limit.

Change: tenants are read with a configuration and checked as a whole; a request is identified by the digest of its key before anything is spent on it; back ends get the tenant that the daemon found and never the key; homes of route and tenant both bind; a tenant's priority goes before the route's. Operators see use against limits with 'kitekeel tenants'; settings name the contracts, and those that are not known are told in a line.

In the simulated fleet of 24 daemons: at 0.85 and 0.67 of the limit at most 0.001 refused, at 4.7 times the limit within the bound.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/gateway_operations.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/gateway_operations.py
@@ -1,7 +1,8 @@
-"""What operators ask of one gateway daemon: its metrics, and the requests that end back ends.
+"""What operators ask of one gateway daemon: its metrics, tenants, and requests that end back ends.
 
 ``GET /crash-records`` lists those requests with their evidence. ``POST /crash-records/ID/release``
-releases one everywhere; it takes the daemons' shared secret. Every other path tells the metrics.
+releases one everywhere; it takes the daemons' shared secret. ``GET /tenants`` tells their use of
+their limits. Every other path tells the metrics.
 """
 
 from __future__ import annotations
@@ -21,6 +22,7 @@
     CrashReport,
 )
 from kitekeel_steering.proxied_messages import ProxiedAnswer, ProxiedRequest, find_header
+from kitekeel_steering.tenant_reports import TENANTS_PATH, TenantsReply
 
 _JSON = ((b"Content-Type", b"application/json"),)
 
@@ -32,9 +34,17 @@
         ledger: what is known of requests that end back ends.
         secret: proves the right to release one.
         metrics_text: returns the metrics.
+        tenants: returns the tenants' use of their limits.
     """
 
-    def __init__(self, ledger: CrashLedger, secret: str, metrics_text: Callable[[], bytes]) -> None:
+    def __init__(
+        self,
+        ledger: CrashLedger,
+        secret: str,
+        metrics_text: Callable[[], bytes],
+        tenants: Callable[[], TenantsReply],
+    ) -> None:
+        self._tenants = tenants
         self._ledger = ledger
         self._secret = secret.encode()
         self._metrics_text = metrics_text
@@ -42,6 +52,8 @@
     async def handle(self, request: ProxiedRequest) -> ProxiedAnswer:
         """Answer one request."""
         path = request.target.partition(b"?")[0].decode("latin-1")
+        if path == TENANTS_PATH:
+            return own_answer(HTTPStatus.OK, _JSON, msgspec.json.encode(self._tenants()))
         if path == CRASH_RECORDS_PATH:
             return own_answer(HTTPStatus.OK, _JSON, msgspec.json.encode(self._reports()))
         if path.startswith(f"{CRASH_RECORDS_PATH}/") and path.endswith(RELEASE_SUFFIX):
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/request_outcomes.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/request_outcomes.py
@@ -17,6 +17,7 @@
     TIMED_OUT = "timed-out"
     ABANDONED = "abandoned"
     NO_ROUTE = "no-route"
+    NO_KEY = "no-key"
     NOT_READY = "not-ready"
 
 
@@ -30,6 +31,10 @@
     NO_CONFIGURATION = "no-configuration"
     NO_MATCH = "no-match"
     ENDS_BACK_ENDS = "ends-back-ends"
+    KEY_MISSING = "key-missing"
+    KEY_UNKNOWN = "key-unknown"
+    TENANT_OVER_LIMIT = "tenant-over-limit"
+    NO_COMMON_HOME = "no-common-home"
 
 
 def own_answer(
@@ -41,7 +46,14 @@
     )
 
 
-def refusal(retry_after_seconds: float) -> ProxiedAnswer:
+def refusal(
+    retry_after_seconds: float, status: HTTPStatus = HTTPStatus.SERVICE_UNAVAILABLE
+) -> ProxiedAnswer:
     """Return the promise that a request has not run and will not, and when to come back."""
     retry_after = (b"Retry-After", f"{retry_after_seconds:.2f}".encode())
-    return own_answer(HTTPStatus.SERVICE_UNAVAILABLE, (retry_after,))
+    return own_answer(status, (retry_after,))
+
+
+def unauthorized() -> ProxiedAnswer:
+    """Return the answer to a request that needs an API key and states no valid one."""
+    return own_answer(HTTPStatus.UNAUTHORIZED, ((b"WWW-Authenticate", b"Bearer"),))
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/request_recorder.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/request_recorder.py
@@ -50,10 +50,11 @@
                 at=self._clock.wall(),
                 route=routed.route.name,
                 service=routed.service,
-                priority=routed.route.priority,
+                priority=routed.priority,
                 configuration_version=configuration_version,
                 view_age=round(self._view.age_seconds(), 2),
                 allowed_seconds=round(routed.deadline - routed.request.received_at, 3),
+                tenant=routed.caller.tenant.name if routed.caller.tenant is not None else "",
             )
         )
 
@@ -101,7 +102,7 @@
         route = routed.route
         seconds = self._clock.monotonic() - routed.request.received_at
         is_late = seconds > route.objective_seconds
-        self._metrics.note_ended(outcome.value, reason, routed.service, route.priority, seconds)
+        self._metrics.note_ended(outcome.value, reason, routed.service, routed.priority, seconds)
         ended = RequestEnded(
             request=routed.request_id,
             at=self._clock.wall(),
@@ -120,8 +121,17 @@
         is_ordinary = is_answered and routed.sends == 1 and not is_late
         self._log.request((*routed.lines, ended), is_ordinary)
 
-    def note_unrouted(self, request: ProxiedRequest, outcome: Outcome, reason: Reason) -> None:
-        """Count and log a request that was answered without a route."""
+    def note_unrouted(
+        self, request: ProxiedRequest, outcome: Outcome, reason: Reason, key: str = ""
+    ) -> None:
+        """Count and log a request that was answered without a route, or without a valid API key.
+
+        Args:
+            request: the request.
+            outcome: how it ended.
+            reason: what decided it.
+            key: fingerprint of the API key that it stated; empty for none.
+        """
         seconds = self._clock.monotonic() - request.received_at
         self._metrics.note_ended(outcome.value, reason.value, "", 0, seconds)
         ended = RequestEnded(
@@ -133,5 +143,7 @@
             attempts=0,
             seconds=round(seconds, 3),
             view_age=round(self._view.age_seconds(), 2),
+            key=key,
+            configuration_version=self._view.configuration_version(),
         )
         self._log.request((ended,), is_ordinary=False)
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/routed_request.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/routed_request.py
@@ -8,12 +8,16 @@
 from kitekeel_steering.log_messages import LogMessage
 from kitekeel_steering.proxied_messages import ProxiedRequest
 from kitekeel_steering.routing import Route
+from kitekeel_steering.tenants import Caller
 
 
 class RoutedRequest(msgspec.Struct):
     """A request on its way through a daemon.
 
     Attributes:
+        caller: whose request it is.
+        regions: the only regions that may serve it, empty for all; ``None`` where there is none.
+        priority: its tenant's or its route's; 0 is the most urgent.
         deadline: monotonic time by which the caller must have its final answer.
         attempts: how many back ends may have received it.
         sends: how many back ends were chosen, reached or not.
@@ -26,6 +30,9 @@
     request_id: str
     route: Route
     service: str
+    caller: Caller
+    regions: tuple[str, ...] | None
+    priority: int
     affinity_key: str
     urgency_rank: int
     deadline: float
--- /dev/null
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/tenant_admission.py
@@ -0,0 +1,126 @@
+"""Admits requests by their tenants: who may ask at all, and how often."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Coroutine
+
+from kitekeel_daemon.decision_log import DecisionLog
+from kitekeel_daemon.gateway_metrics import GatewayMetrics
+from kitekeel_daemon.tenant_usage import TenantUsage
+from kitekeel_peers.member_table import MemberTable
+from kitekeel_peers.quota_exchange import QuotaExchange
+from kitekeel_peers.quota_keepers import QuotaKeepers
+from kitekeel_peers.rpc import PeerClient, PeerServer
+from kitekeel_steering.clock import Clock
+from kitekeel_steering.fleet_view import FleetView
+from kitekeel_steering.log_messages import QuotaKeeperFound, QuotaKeeperLost
+from kitekeel_steering.routing import RouteTable
+from kitekeel_steering.tenant_quota import QuotaMargin, QuotaShares, quota_shares
+from kitekeel_steering.tenants import Tenant
+
+# A tenant over its limit: its callers come back when it may ask again, spread so that they do not
+# come together.
+_LEAST_RETRY_AFTER_SECONDS = 0.5
+
+
+class TenantAdmission:
+    """Takes a token of its tenant's limit for each request; used on one event loop.
+
+    Args:
+        view: tells the configuration in force.
+        margin: how far limits may be exceeded.
+        daemons: returns how many daemons share the limits.
+    """
+
+    def __init__(
+        self,
+        view: FleetView,
+        margin: QuotaMargin,
+        daemons: Callable[[], int],
+        clock: Clock,
+        metrics: GatewayMetrics,
+        log: DecisionLog,
+    ) -> None:
+        self._view = view
+        self._margin = margin
+        self._daemons = daemons
+        self._clock = clock
+        self._metrics = metrics
+        self._log = log
+        self._routes: RouteTable | None = None
+        self._shares: dict[str, QuotaShares] = {}
+        self._exchange: QuotaExchange | None = None
+        self.usage = TenantUsage(clock)
+
+    def share(
+        self, client: PeerClient, table: MemberTable, server: PeerServer, generator: random.Random
+    ) -> None:
+        """Keep the limits together with the other daemons; see :class:`QuotaExchange`."""
+        self._exchange = QuotaExchange(
+            QuotaKeepers(table.own, table.live, self._clock),
+            self._shares_of,
+            lambda: bool(self._current_shares()),
+            self._daemons,
+            client,
+            self._clock,
+            generator,
+            self._metrics,
+            self._on_keeper,
+        )
+        self._exchange.register(server)
+
+    def loops(self) -> list[Coroutine[None, None, None]]:
+        """Return the loops to run until the daemon stops."""
+        return self._exchange.loops() if self._exchange is not None else []
+
+    def close(self) -> None:
+        """Make no further calls."""
+        if self._exchange is not None:
+            self._exchange.close()
+
+    async def claim(self, tenant: Tenant | None) -> bool:
+        """Take a token for one request; tell whether its tenant is within its limit."""
+        if tenant is None:
+            return True
+        shares = self._shares_of(tenant.name)
+        is_admitted = True
+        if shares is not None and self._exchange is not None:
+            is_admitted = await self._exchange.claim(tenant.name, shares)
+        self.usage.note(tenant.name, is_admitted)
+        return is_admitted
+
+    def give_back(self, tenant: Tenant | None) -> None:
+        """Return the token of a request that no back end ran."""
+        shares = self._shares_of(tenant.name) if tenant is not None else None
+        if tenant is not None and shares is not None and self._exchange is not None:
+            self._exchange.give_back(tenant.name, shares)
+
+    def is_alone(self) -> bool:
+        """Tell whether limits are kept by this daemon's equal part, as no keeper answers."""
+        return self._exchange is not None and self._exchange.is_alone()
+
+    def _shares_of(self, tenant: str) -> QuotaShares | None:
+        return self._current_shares().get(tenant)
+
+    def _current_shares(self) -> dict[str, QuotaShares]:
+        """Return the shares of all tenants with limits, by the configuration in force."""
+        routes = self._view.routes
+        if routes is not self._routes and routes is not None:
+            self._routes = routes
+            found = {each.name: quota_shares(each, self._margin) for each in routes.tenants.all()}
+            self._shares = {name: each for name, each in found.items() if each is not None}
+        return self._shares
+
+    def _on_keeper(self, group: int, is_found: bool, reason: str) -> None:
+        if is_found:
+            self._log.state(QuotaKeeperFound(group))
+        else:
+            self._metrics.increment("quota.keepers-lost")
+            self._log.state(QuotaKeeperLost(group, reason))
+
+
+def quota_retry_after_seconds(tenant: Tenant) -> float:
+    """Return when a caller of a tenant over its limit should come back."""
+    least = max(_LEAST_RETRY_AFTER_SECONDS, 1.0 / max(tenant.rate, 0.001))
+    return random.uniform(least, 2 * least)
--- a/packages/kitekeel-operators/src/kitekeel_operators/crash_records.py
+++ b/packages/kitekeel-operators/src/kitekeel_operators/crash_records.py
@@ -6,9 +6,9 @@
 from http import HTTPStatus
 
 import msgspec
-import urllib3
 
 from kitekeel_operators.client import DaemonUnreachableError, OperatorRefusedError
+from kitekeel_operators.gateway_calls import call_gateway
 from kitekeel_operators.messages import FailureReply
 from kitekeel_steering.crash_reports import (
     CRASH_RECORDS_PATH,
@@ -17,7 +17,6 @@
     CrashReport,
 )
 
-_TIMEOUT_SECONDS = 3.0
 _NO_RECORD = "crash-record-unknown"
 _WRONG_SECRET = "secret-wrong"
 
@@ -28,7 +27,7 @@
     Raises:
         DaemonUnreachableError: it did not answer, or not as a gateway does.
     """
-    body = _call("GET", address, CRASH_RECORDS_PATH, {}).data
+    body = call_gateway("GET", address, CRASH_RECORDS_PATH, {}).data
     try:
         return msgspec.json.decode(body, type=list[CrashReport])
     except msgspec.MsgspecError as error:
@@ -43,7 +42,7 @@
         OperatorRefusedError: the secret is wrong, or nothing is known of the request.
     """
     path = f"{CRASH_RECORDS_PATH}/{identity}{RELEASE_SUFFIX}"
-    status = _call("POST", address, path, {SECRET_HEADER.decode(): secret}).status
+    status = call_gateway("POST", address, path, {SECRET_HEADER.decode(): secret}).status
     if status == HTTPStatus.FORBIDDEN:
         raise _refusal(_WRONG_SECRET, "the daemons' shared secret is wrong")
     if status != HTTPStatus.OK:
@@ -72,15 +71,3 @@
 
 def _refusal(code: str, message: str) -> OperatorRefusedError:
     return OperatorRefusedError(FailureReply(code, message))
-
-
-def _call(
-    method: str, address: str, path: str, headers: dict[str, str]
-) -> urllib3.BaseHTTPResponse:
-    url = f"http://{address}{path}"
-    try:
-        return urllib3.request(
-            method, url, headers=headers, timeout=_TIMEOUT_SECONDS, retries=False
-        )
-    except urllib3.exceptions.HTTPError as error:
-        raise DaemonUnreachableError(f"{address}: {error}") from error
--- /dev/null
+++ b/packages/kitekeel-peers/src/kitekeel_peers/quota_exchange.py
@@ -0,0 +1,336 @@
+"""Hands tokens for tenants' requests from the keepers of each region to the daemons.
+
+See :mod:`kitekeel_steering.tenant_quota` for why the limits hold whoever the keepers are. A request
+takes a token of the daemon's stock; where there is none its daemon asks the keeper of its region,
+for all waiting requests at once. Keepers that run short ask those of the other regions.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Callable, Coroutine
+from concurrent.futures import ThreadPoolExecutor
+
+import xxhash
+
+from kitekeel_peers.loop_handler import on_event_loop
+from kitekeel_peers.quota_keepers import GROUPS, QuotaKeepers, group_of
+from kitekeel_peers.quota_messages import QuotaReply, QuotaRequest, QuotaWant
+from kitekeel_peers.quota_pools import QuotaPools
+from kitekeel_peers.rpc import PeerClient, PeerServer
+from kitekeel_steering.clock import Clock
+from kitekeel_steering.errors import PeerError
+from kitekeel_steering.metrics import Metrics
+from kitekeel_steering.tenant_quota import (
+    LENDING_SECONDS,
+    LentTime,
+    OwnEarnings,
+    QuotaShares,
+    QuotaStock,
+)
+
+QUOTA = "Quota"
+# A request waits for the answer, so that a silent keeper must not cost it its time.
+_TIMEOUT_SECONDS = 0.25
+_KEEPERS_TRIED = 2
+_CALL_THREADS = 4
+# A daemon that got no token of a tenant refuses its requests for so long without asking again.
+_LEAST_PAUSE_SECONDS = 0.08
+_MOST_PAUSE_SECONDS = 0.2
+# A tenant whose requests came within this time gets its stock filled up.
+_DEMAND_SECONDS = 2.0
+_DIGEST_RANGE = float(1 << 64)
+
+
+class _Waiting:
+    """Requests of one daemon that wait for tokens of one tenant."""
+
+    def __init__(self, shares: QuotaShares) -> None:
+        self.shares = shares
+        self.futures: list[asyncio.Future[bool]] = []
+
+    def decide(self, tokens: int) -> int:
+        """Give each a token as far as they go, the longest waiting first.
+
+        Returns:
+            The tokens left over; negative by the number of requests that got none.
+        """
+        for future in self.futures:
+            if future.done():
+                continue
+            future.set_result(tokens > 0)
+            tokens -= 1
+        self.futures.clear()
+        return tokens
+
+
+class _Group:
+    """One daemon's exchange with the keeper of one group of tenants."""
+
+    def __init__(self, now: float) -> None:
+        self.lent = LentTime(now)
+        self.waiting: dict[str, _Waiting] = {}
+        self.returned: dict[str, QuotaWant] = {}
+        self.task: asyncio.Task[None] | None = None
+        self.is_alone = False
+        self.earnings: dict[str, OwnEarnings] = {}
+
+
+class QuotaExchange:
+    """One daemon's part in the exchange of tokens; used on one event loop.
+
+    Args:
+        keepers: tells who keeps which tokens.
+        shares_of: returns a tenant's shares by the configuration in force, ``None`` where that
+            states no limit or no such tenant.
+        daemons: returns how many daemons share the limits.
+        metrics: counts where tokens came from.
+        on_keeper: called where a group's keeper is lost (with the reason) or found again.
+    """
+
+    def __init__(
+        self,
+        keepers: QuotaKeepers,
+        shares_of: Callable[[str], QuotaShares | None],
+        has_limits: Callable[[], bool],
+        daemons: Callable[[], int],
+        client: PeerClient,
+        clock: Clock,
+        generator: random.Random,
+        metrics: Metrics,
+        on_keeper: Callable[[int, bool, str], None],
+    ) -> None:
+        self._keepers = keepers
+        self._shares_of = shares_of
+        self._has_limits = has_limits
+        self._daemons = daemons
+        self._client = client
+        self._clock = clock
+        self._random = generator
+        self._metrics = metrics
+        self._on_keeper = on_keeper
+        self._threads = ThreadPoolExecutor(_CALL_THREADS, thread_name_prefix="quota")
+        self._groups = [_Group(clock.monotonic()) for _ in range(GROUPS)]
+        self._stocks: dict[str, QuotaStock] = {}
+        self._asked_at: dict[str, float] = {}
+        self._refused_until: dict[str, float] = {}
+        self._pools = QuotaPools(
+            GROUPS, keepers, shares_of, daemons, self._call, clock, self._metrics
+        )
+
+    def register(self, server: PeerServer) -> None:
+        """Serve the method."""
+        loop = asyncio.get_running_loop()
+        server.register(QUOTA, QuotaRequest, on_event_loop(self._reply, loop, _TIMEOUT_SECONDS))
+
+    def loops(self) -> list[Coroutine[None, None, None]]:
+        """Return the loops to run until the daemon stops."""
+        return [self._lend_regularly(group) for group in range(GROUPS)]
+
+    def close(self) -> None:
+        """Make no further calls."""
+        self._threads.shutdown(wait=False, cancel_futures=True)
+
+    async def claim(self, tenant: str, shares: QuotaShares) -> bool:
+        """Take a token for one request; tell whether there was one."""
+        now = self._clock.monotonic()
+        self._asked_at[tenant] = now
+        if self._stock(tenant).take(shares, self._daemons()):
+            self._metrics.increment("quota.tokens-from-stock")
+            return True
+        group = self._groups[group_of(tenant)]
+        if group.is_alone:
+            return self._take_own(group, tenant, shares, now)
+        if now < self._refused_until.get(tenant, 0.0):
+            return False
+        waiting = group.waiting.setdefault(tenant, _Waiting(shares))
+        future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        waiting.futures.append(future)
+        self._start_exchange(group_of(tenant))
+        try:
+            return await future
+        except asyncio.CancelledError:
+            if future.done() and not future.cancelled() and future.result():
+                self.give_back(tenant, shares)
+            raise
+
+    def give_back(self, tenant: str, shares: QuotaShares) -> None:
+        """Return the token of a request that no back end ran."""
+        left_over = self._stock(tenant).add(shares, self._daemons(), 1)
+        if left_over:
+            self._return(tenant, shares, left_over)
+
+    def is_alone(self) -> bool:
+        """Tell whether this daemon lives on its own earnings, as no keeper answers."""
+        return any(each.is_alone for each in self._groups)
+
+    def _return(self, tenant: str, shares: QuotaShares, tokens: int) -> None:
+        returned = self._groups[group_of(tenant)].returned
+        before = returned.get(tenant)
+        total = tokens - (before.tokens if before is not None else 0)
+        returned[tenant] = QuotaWant(tenant, -total, shares)
+
+    def _stock(self, tenant: str) -> QuotaStock:
+        stock = self._stocks.get(tenant)
+        if stock is None:
+            stock = self._stocks[tenant] = QuotaStock(self._rounding(tenant))
+        return stock
+
+    def _rounding(self, tenant: str) -> float:
+        name = f"{tenant}/{self._keepers.own_address()}"
+        return int(xxhash.xxh64_intdigest(name.encode())) / _DIGEST_RANGE
+
+    def _take_own(self, group: _Group, tenant: str, shares: QuotaShares, now: float) -> bool:
+        earnings = group.earnings.get(tenant)
+        if earnings is None:
+            rounding = self._rounding(tenant)
+            earnings = group.earnings[tenant] = OwnEarnings(rounding, now - group.lent.age(now))
+        is_taken = earnings.take(shares, self._daemons(), now)
+        if is_taken:
+            self._metrics.increment("quota.tokens-earned-alone")
+        return is_taken
+
+    async def _lend_regularly(self, number: int) -> None:
+        """Exchange with the keeper at each interval, also where no request waits."""
+        while True:
+            await asyncio.sleep(LENDING_SECONDS * self._random.uniform(0.8, 1.0))
+            if self._has_limits():
+                self._start_exchange(number)
+
+    def _start_exchange(self, number: int) -> None:
+        group = self._groups[number]
+        if group.task is None or group.task.done():
+            group.task = asyncio.get_running_loop().create_task(self._exchange(number))
+
+    async def _exchange(self, number: int) -> None:
+        """Exchange with the keeper until no request waits for tokens."""
+        while True:
+            await self._exchange_once(number)
+            if not self._groups[number].waiting:
+                return
+
+    async def _exchange_once(self, number: int) -> None:
+        group = self._groups[number]
+        waiting, group.waiting = group.waiting, {}
+        returned, group.returned = group.returned, {}
+        wants = self._wants(number, waiting) + tuple(returned.values())
+        try:
+            reply = await self._ask_keepers(number, group, wants)
+            if reply is None:
+                self._decide_alone(group, waiting)
+            else:
+                self._hand_out(reply, waiting)
+        finally:
+            # No request is left waiting, whatever happened.
+            for requests in waiting.values():
+                requests.decide(0)
+
+    def _hand_out(self, reply: QuotaReply, waiting: dict[str, _Waiting]) -> None:
+        granted = {each.tenant: each.tokens for each in reply.grants}
+        for tenant, requests in waiting.items():
+            left = requests.decide(granted.pop(tenant, 0))
+            if left < 0:
+                self._pause(tenant)
+            else:
+                granted[tenant] = left
+        for tenant, tokens in granted.items():
+            self._put_by(tenant, tokens)
+
+    def _wants(self, number: int, waiting: dict[str, _Waiting]) -> tuple[QuotaWant, ...]:
+        """Return what waiting requests need, and what stocks of busy tenants lack."""
+        now = self._clock.monotonic()
+        wanted: Counter[str] = Counter({name: len(each.futures) for name, each in waiting.items()})
+        shares = {name: each.shares for name, each in waiting.items()}
+        for tenant, asked_at in list(self._asked_at.items()):
+            if now - asked_at > _DEMAND_SECONDS:
+                del self._asked_at[tenant]
+                continue
+            if group_of(tenant) != number:
+                continue
+            found = shares.get(tenant) or self._shares_of(tenant)
+            if found is None:
+                continue
+            shares[tenant] = found
+            stock = self._stock(tenant)
+            wanted[tenant] += max(0, stock.most(found, self._daemons()) - stock.tokens)
+        return tuple(
+            QuotaWant(name, count, shares[name]) for name, count in wanted.items() if count > 0
+        )
+
+    def _put_by(self, tenant: str, tokens: int) -> None:
+        shares = self._shares_of(tenant)
+        if shares is None or not tokens:
+            return
+        left_over = self._stock(tenant).add(shares, self._daemons(), tokens)
+        if left_over:
+            self._return(tenant, shares, left_over)
+
+    def _pause(self, tenant: str) -> None:
+        pause = self._random.uniform(_LEAST_PAUSE_SECONDS, _MOST_PAUSE_SECONDS)
+        self._refused_until[tenant] = self._clock.monotonic() + pause
+
+    async def _ask_keepers(
+        self, number: int, group: _Group, wants: tuple[QuotaWant, ...]
+    ) -> QuotaReply | None:
+        """Return the keeper's reply, or another one's where it is silent.
+
+        Seconds are spent with the first try: whether a call without an answer was heard nobody
+        knows, and seconds that count twice would admit requests beyond the limit.
+        """
+        now = self._clock.monotonic()
+        seconds = 0.0 if group.is_alone else group.lent.take(now)
+        reason = ""
+        for _ in range(_KEEPERS_TRIED):
+            address = self._keepers.of_own_region(number)
+            request = QuotaRequest(
+                number, self._keepers.own_address(), seconds, self._daemons(), wants
+            )
+            if address == request.sender:
+                self._note_keeper(number, group, True, "")
+                return self._pools.serve(request)
+            try:
+                reply = await self._call(address, request)
+            except PeerError as error:
+                self._keepers.note_failure(address)
+                reason, seconds = error.message, 0.0
+                continue
+            self._note_keeper(number, group, True, "")
+            return reply
+        self._note_keeper(number, group, False, reason)
+        return None
+
+    def _note_keeper(self, number: int, group: _Group, is_found: bool, reason: str) -> None:
+        if group.is_alone is not is_found:
+            return
+        group.is_alone = not is_found
+        group.earnings.clear()
+        group.lent.take(self._clock.monotonic())
+        self._on_keeper(number, is_found, reason)
+
+    def _decide_alone(self, group: _Group, waiting: dict[str, _Waiting]) -> None:
+        now = self._clock.monotonic()
+        for tenant, requests in waiting.items():
+            tokens = sum(
+                self._take_own(group, tenant, requests.shares, now) for _ in requests.futures
+            )
+            requests.decide(tokens)
+
+    async def _call(self, address: str, request: QuotaRequest) -> QuotaReply:
+        loop = asyncio.get_running_loop()
+        try:
+            return await loop.run_in_executor(
+                self._threads,
+                self._client.call,
+                address,
+                QUOTA,
+                request,
+                QuotaReply,
+                _TIMEOUT_SECONDS,
+            )
+        except RuntimeError as error:
+            raise PeerError(f"{QUOTA} at {address}: this daemon is ending") from error
+
+    async def _reply(self, request: QuotaRequest) -> QuotaReply:
+        return self._pools.serve(request)
--- /dev/null
+++ b/packages/kitekeel-peers/src/kitekeel_peers/quota_keepers.py
@@ -0,0 +1,77 @@
+"""Which daemon of a region keeps the tokens of a group of tenants.
+
+The choice follows from the member table alone. Daemons whose tables differ may choose different
+ones for a while: tokens are then spread over two pools, and none comes into being twice.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import xxhash
+
+from kitekeel_peers.messages import MemberRecord
+from kitekeel_steering.clock import Clock
+from kitekeel_steering.rendezvous import rank_nodes
+
+# Spreads the calls for tokens over as many daemons of each region.
+GROUPS = 2
+# Until the member table has noticed that a daemon is gone.
+_SILENT_SECONDS = 5.0
+
+
+def group_of(tenant: str) -> int:
+    """Return the group that a tenant's tokens belong to."""
+    return int(xxhash.xxh64_intdigest(tenant.encode())) % GROUPS
+
+
+class QuotaKeepers:
+    """The choice as one daemon makes it; used by the event loop alone.
+
+    Args:
+        own: returns this daemon's record.
+        members: returns the live members, this daemon included.
+    """
+
+    def __init__(
+        self,
+        own: Callable[[], MemberRecord],
+        members: Callable[[], list[MemberRecord]],
+        clock: Clock,
+    ) -> None:
+        self._own = own
+        self._members = members
+        self._clock = clock
+        self._silent_until: dict[str, float] = {}
+
+    def own_address(self) -> str:
+        """Return this daemon's peer address."""
+        return self._own().peer_address
+
+    def of_own_region(self, group: int) -> str:
+        """Return the keeper's peer address; this daemon's own where there is no other."""
+        found = self._choose(group, self._own().region)
+        return found if found is not None else self.own_address()
+
+    def of_other_regions(self, group: int) -> list[str]:
+        """Return the peer addresses of the keepers of all other regions."""
+        own_region = self._own().region
+        regions = sorted({each.region for each in self._members()} - {own_region})
+        found = [self._choose(group, region) for region in regions]
+        return [each for each in found if each is not None]
+
+    def note_failure(self, address: str) -> None:
+        """Note that a keeper did not answer, so that another one is asked for a while."""
+        self._silent_until[address] = self._clock.monotonic() + _SILENT_SECONDS
+
+    def _choose(self, group: int, region: str) -> str | None:
+        now = self._clock.monotonic()
+        candidates = {
+            each.instance: each.peer_address
+            for each in self._members()
+            if each.region == region
+            and each.is_serving
+            and self._silent_until.get(each.peer_address, 0.0) <= now
+        }
+        ranked = rank_nodes(f"quota/{group}", candidates)
+        return candidates[ranked[0]] if ranked else None
--- a/packages/kitekeel-steering/src/kitekeel_steering/key_lists.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/key_lists.py
@@ -36,7 +36,7 @@
         self._own_region = own_region
         self._regions = regions
         self._divisions: dict[tuple[str, tuple[str, ...]], KeyDivision] = {}
-        self._lists: OrderedDict[tuple[str, str], _KnownList] = OrderedDict()
+        self._lists: OrderedDict[tuple[str, tuple[str, ...], str], _KnownList] = OrderedDict()
 
     def ranked(self, service: str, key: str, candidates: Candidates, now: float) -> RankedBackEnds:
         """Return the back ends in the order of the key's list.
@@ -49,7 +49,9 @@
         """
         division = self._division(service, candidates, now)
         is_local = division.plan.is_local(key)
-        known = self._lists.get((service, key))
+        # Tenants with homes and others may ask for the same object.
+        listed_as = (service, candidates.home_regions, key)
+        known = self._lists.get(listed_as)
         if (
             known is not None
             and known.candidates is candidates
@@ -58,7 +60,7 @@
         ):
             return known.ranked
         ranked = division.plan.rank(key, candidates.members, division.factors)
-        self._lists[service, key] = _KnownList(candidates, division.factors, is_local, ranked)
+        self._lists[listed_as] = _KnownList(candidates, division.factors, is_local, ranked)
         if len(self._lists) > _MOST_LISTS:
             self._lists.popitem(last=False)
         return ranked
--- /dev/null
+++ b/packages/kitekeel-steering/src/kitekeel_steering/tenant_quota.py
@@ -0,0 +1,239 @@
+"""Limits on tenants' requests over all daemons together, kept as a fixed amount of tokens.
+
+Each admitted request takes one token. Tokens come into being in one way only: every daemon earns
+its equal part of a tenant's rate for each second that passes. A daemon lends those seconds to a
+keeper of its region, which turns them into tokens and hands them to the daemons that ask. Lent
+seconds and tokens are spent once, whoever is the keeper, however many daemons believe to be it, and
+also where messages are lost. So the limit holds with any daemons cut off, frozen, killed or added.
+
+What may lie unused bounds how many requests can come at once. It is divided among the places where
+tokens lie: the keepers' pools, the stocks of the daemons, and seconds that are not lent yet.
+"""
+
+from __future__ import annotations
+
+import math
+
+import msgspec
+
+from kitekeel_steering.tenants import Tenant
+
+# Daemons lend their seconds at least this often.
+LENDING_SECONDS = 0.5
+# Parts of the margin above rate and burst. What is left covers requests that hold a token while
+# they are on their way, and the different views that daemons have of how many there are.
+_STOCKED_MARGIN = 0.2
+_POOLED_MARGIN = 0.6
+_LEAST_POOLED_MARGIN = 0.1
+# A daemon that was silent for longer lends no more than this.
+_LONGEST_LOAN_SECONDS = 5.0
+# A lender that was not heard of for this long counts no longer toward a pool's share.
+_LENDER_MEMORY_SECONDS = 5.0
+# A pool for this part of all daemons or more, as of one of 16 regions, may hold a whole token
+# whatever the tenant's shares: its callers would else never be admitted there.
+_LEAST_WHOLE_SHARE = 1.0 / 16.0
+
+
+class QuotaMargin(msgspec.Struct, frozen=True):
+    """How far requests within a window may exceed a tenant's rate and burst.
+
+    Attributes:
+        window_seconds: length of the window, which slides.
+        ratio: part of what rate and burst allow in a window.
+        slack: requests beyond that.
+    """
+
+    window_seconds: float = 5.0
+    ratio: float = 0.1
+    slack: float = 20.0
+
+
+class QuotaShares(msgspec.Struct, frozen=True):
+    """How many tokens of a tenant may lie unused, all daemons together.
+
+    Attributes:
+        pooled: in the keepers' pools.
+        stocked: in the daemons' stocks.
+    """
+
+    rate: float
+    pooled: float
+    stocked: float
+
+
+def quota_shares(tenant: Tenant, margin: QuotaMargin) -> QuotaShares | None:
+    """Return the shares of a tenant, ``None`` where it has no limit."""
+    if tenant.rate <= 0:
+        return None
+    extra = margin.ratio * (tenant.rate * margin.window_seconds + tenant.burst) + margin.slack
+    unlent = tenant.rate * LENDING_SECONDS
+    pooled = max(_LEAST_POOLED_MARGIN * extra, tenant.burst + _POOLED_MARGIN * extra - unlent)
+    return QuotaShares(tenant.rate, pooled, _STOCKED_MARGIN * extra)
+
+
+class LentTime:
+    """The seconds of one daemon that it has not lent yet.
+
+    Args:
+        now: monotonic time in seconds.
+    """
+
+    def __init__(self, now: float) -> None:
+        self._since = now
+
+    def take(self, now: float) -> float:
+        """Return the seconds since the last call; they are spent from now on."""
+        seconds = min(max(0.0, now - self._since), _LONGEST_LOAN_SECONDS)
+        self._since = now
+        return seconds
+
+    def age(self, now: float) -> float:
+        """Return the seconds that may be lent."""
+        return now - self._since
+
+
+class _Level(msgspec.Struct):
+    tokens: float
+    earned_at: float
+
+
+class QuotaPool:
+    """The tokens of one keeper.
+
+    Lent seconds are summed up as parts of a rate: a sum of 1 stands for one second of a tenant's
+    whole rate. Each tenant's tokens follow from the sum when they are asked for.
+    """
+
+    def __init__(self) -> None:
+        self._lent = 0.0
+        self._levels: dict[str, _Level] = {}
+        self._lenders: dict[str, float] = {}
+
+    def lend(self, lender: str, seconds: float, daemons: int, now: float) -> None:
+        """Take the seconds that a daemon lends.
+
+        Args:
+            lender: the daemon's address; a daemon that starts anew at it is the same lender.
+            seconds: as the lender states them; none lie before its last loan.
+            daemons: how many daemons share the limits.
+            now: monotonic time in seconds.
+        """
+        last = self._lenders.get(lender)
+        possible = _LONGEST_LOAN_SECONDS if last is None else max(0.0, now - last)
+        # Messages may take different times, so that two loans come closer than they were made.
+        allowed = min(seconds, possible + LENDING_SECONDS, _LONGEST_LOAN_SECONDS)
+        self._lent += max(0.0, allowed) / max(1, daemons)
+        self._lenders[lender] = now
+        if len(self._lenders) > daemons:
+            self._forget_lenders(now)
+
+    def take(
+        self, tenant: str, shares: QuotaShares, wanted: float, now: float, daemons: int
+    ) -> int:
+        """Return how many of the wanted tokens there are; they are the asker's from now on."""
+        level = self._level(tenant, shares, now, daemons)
+        granted = math.floor(min(wanted, level.tokens))
+        if granted <= 0:
+            return 0
+        level.tokens -= granted
+        return granted
+
+    def take_part(
+        self, tenant: str, shares: QuotaShares, wanted: float, now: float, daemons: int
+    ) -> int:
+        """Return tokens for another keeper: at most half of what there is."""
+        level = self._level(tenant, shares, now, daemons)
+        return self.take(tenant, shares, min(wanted, level.tokens / 2), now, daemons)
+
+    def add(
+        self, tenant: str, shares: QuotaShares, tokens: float, now: float, daemons: int
+    ) -> None:
+        """Add tokens that another keeper or daemon gave."""
+        level = self._level(tenant, shares, now, daemons)
+        level.tokens = min(level.tokens + tokens, self._most(shares, now, daemons))
+
+    def level(self, tenant: str, shares: QuotaShares, now: float, daemons: int) -> float:
+        """Return how many tokens there are."""
+        return self._level(tenant, shares, now, daemons).tokens
+
+    def _level(self, tenant: str, shares: QuotaShares, now: float, daemons: int) -> _Level:
+        level = self._levels.get(tenant)
+        if level is None:
+            # What was lent before the tenant was first asked for is its own as well.
+            level = self._levels[tenant] = _Level(0.0, 0.0)
+        level.tokens += (self._lent - level.earned_at) * shares.rate
+        level.tokens = min(level.tokens, self._most(shares, now, daemons))
+        level.earned_at = self._lent
+        return level
+
+    def _most(self, shares: QuotaShares, now: float, daemons: int) -> float:
+        """Return the most tokens that may lie here: the part of those daemons that lend here."""
+        lenders = sum(now - last < _LENDER_MEMORY_SECONDS for last in self._lenders.values())
+        share = min(1.0, lenders / max(1, daemons))
+        least = 1.0 if share >= _LEAST_WHOLE_SHARE else 0.0
+        return max(least, shares.pooled * share)
+
+    def _forget_lenders(self, now: float) -> None:
+        self._lenders = {
+            lender: last
+            for lender, last in self._lenders.items()
+            if now - last < _LENDER_MEMORY_SECONDS
+        }
+
+
+class QuotaStock:
+    """The tokens of one tenant that one daemon has at hand.
+
+    Args:
+        rounding: 0 to 1, evenly spread over daemons: how large a part of a token counts as one, so
+            that the stocks of all daemons together are as large as they may be.
+    """
+
+    def __init__(self, rounding: float) -> None:
+        self._rounding = rounding
+        self.tokens = 0
+
+    def most(self, shares: QuotaShares, daemons: int) -> int:
+        """Return the most tokens that may lie here."""
+        return math.floor(shares.stocked / max(1, daemons) + self._rounding)
+
+    def take(self, shares: QuotaShares, daemons: int) -> bool:
+        """Take a token; tell whether there was one."""
+        self.tokens = min(self.tokens, self.most(shares, daemons))
+        if self.tokens <= 0:
+            return False
+        self.tokens -= 1
+        return True
+
+    def add(self, shares: QuotaShares, daemons: int, tokens: int) -> int:
+        """Add tokens as far as there is room; return those left over."""
+        room = max(0, self.most(shares, daemons) - self.tokens)
+        added = min(room, tokens)
+        self.tokens += added
+        return tokens - added
+
+
+class OwnEarnings:
+    """The tokens of one tenant that a daemon without a keeper earns for itself.
+
+    Args:
+        rounding: as for :class:`QuotaStock`.
+        now: monotonic time in seconds from which it earns.
+    """
+
+    def __init__(self, rounding: float, now: float) -> None:
+        self._rounding = rounding
+        self._tokens = 0.0
+        self._earned_at = now
+
+    def take(self, shares: QuotaShares, daemons: int, now: float) -> bool:
+        """Take a token of the daemon's equal part; tell whether there was one."""
+        part = 1.0 / max(1, daemons)
+        most = math.floor(shares.pooled * part + self._rounding)
+        earned = (now - self._earned_at) * shares.rate * part
+        self._tokens = min(self._tokens + earned, most)
+        self._earned_at = now
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -227,7 +227,7 @@
     assert found is not None and found.name == "long"
     assert table.find("h", "/b/") is None
     assert table.find("unknown", "/a/") is None
-    assert table.urgency_rank(found, "search") == 1
+    assert table.urgency_rank(found.priority, "search") == 1
 
 
 def fingerprint(view: FleetView) -> int:
--- /dev/null
+++ b/tests/test_quota_exchange.py
@@ -0,0 +1,243 @@
+"""Tokens of tenants' limits among daemons that call each other: what callers get under load."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Coroutine
+
+import msgspec
+
+from kitekeel_peers.messages import MemberPhase, MemberRecord
+from kitekeel_peers.quota_exchange import QuotaExchange
+from kitekeel_peers.quota_keepers import QuotaKeepers
+from kitekeel_peers.quota_messages import QuotaReply, QuotaRequest
+from kitekeel_steering.clock import SystemClock, steady_seconds
+from kitekeel_steering.errors import PeerError
+from kitekeel_steering.steady_loop import run_on_steady_loop
+from kitekeel_steering.tenant_quota import QuotaMargin, QuotaShares, quota_shares
+from kitekeel_steering.tenants import Tenant
+
+MARGIN = QuotaMargin()
+REGIONS = ("north", "middle", "south")
+DAEMONS_PER_REGION = 8
+WITHIN_REGION_SECONDS = 0.002
+BETWEEN_REGIONS_SECONDS = 0.07
+
+
+class Counters:
+    """Counts what daemons count."""
+
+    def __init__(self) -> None:
+        self.counts: dict[str, int] = {}
+
+    def increment(self, name: str, count: int = 1) -> None:
+        self.counts[name] = self.counts.get(name, 0) + count
+
+    def describe(self) -> list[tuple[str, str, str]]:
+        return []
+
+
+class Network:
+    """Carries calls between daemons of one process, as long as they take on real links."""
+
+    def __init__(self) -> None:
+        self.handlers: dict[str, Callable[[QuotaRequest], QuotaReply]] = {}
+        self.regions: dict[str, str] = {}
+        self.cut: set[str] = set()
+        self.calls = 0
+        self.bytes = 0
+
+    def call(
+        self,
+        address: str,
+        _method: str,
+        request: QuotaRequest,
+        _reply_type: type[QuotaReply],
+        timeout_seconds: float,
+    ) -> QuotaReply:
+        is_near = self.regions[address] == self.regions[request.sender]
+        seconds = WITHIN_REGION_SECONDS if is_near else BETWEEN_REGIONS_SECONDS
+        self.calls += 1
+        if {address, request.sender} & self.cut:
+            time.sleep(timeout_seconds)
+            raise PeerError(f"Quota at {address}: no answer")
+        time.sleep(seconds)
+        reply = self.handlers[address](request)
+        self.bytes += len(msgspec.msgpack.encode(request)) + len(msgspec.msgpack.encode(reply))
+        return reply
+
+
+class Server:
+    """Takes the place of a peer server."""
+
+    def __init__(self, network: Network, address: str) -> None:
+        self._network = network
+        self._address = address
+
+    def register(self, _method: str, _type: object, handler: Callable[..., QuotaReply]) -> None:
+        self._network.handlers[self._address] = handler
+
+
+class Fleet:
+    """Daemons of three regions with one tenant."""
+
+    def __init__(self, tenant: Tenant) -> None:
+        shares = quota_shares(tenant, MARGIN)
+        assert shares is not None
+        self.shares: QuotaShares = shares
+        self.tenant = tenant
+        self.network = Network()
+        self.metrics = Counters()
+        self.records = [
+            MemberRecord(
+                f"{region}-{number}",
+                region,
+                region,
+                1,
+                f"{region}:{number}",
+                "",
+                "",
+                phase=MemberPhase.SERVING,
+            )
+            for region in REGIONS
+            for number in range(DAEMONS_PER_REGION)
+        ]
+        self.exchanges: dict[str, QuotaExchange] = {}
+        self.tasks: list[asyncio.Task[None]] = []
+        self.lost: list[str] = []
+        for each in self.records:
+            self._start(each)
+
+    def _start(self, record: MemberRecord) -> None:
+        clock = SystemClock()
+        exchange = QuotaExchange(
+            QuotaKeepers(lambda: record, lambda: self.records, clock),
+            {self.tenant.name: self.shares}.get,
+            lambda: True,
+            lambda: len(self.records),
+            self.network,  # type: ignore[arg-type]
+            clock,
+            random.Random(record.instance),
+            self.metrics,
+            lambda group, found, _reason: self.lost.append(f"{record.instance}/{group}/{found}"),
+        )
+        self.network.regions[record.peer_address] = record.region
+        exchange.register(Server(self.network, record.peer_address))  # type: ignore[arg-type]
+        self.exchanges[record.instance] = exchange
+        self.tasks += [asyncio.create_task(each) for each in exchange.loops()]
+
+    async def load(
+        self, per_second: float, seconds: float, choose: Callable[[], str]
+    ) -> tuple[list[float], list[float]]:
+        """Send requests at daemons that ``choose`` names; return times admitted and refused."""
+        admitted: list[float] = []
+        refused: list[float] = []
+        generator = random.Random(3)
+
+        async def claim(instance: str) -> None:
+            sent_at = steady_seconds()
+            is_admitted = await self.exchanges[instance].claim(self.tenant.name, self.shares)
+            (admitted if is_admitted else refused).append(sent_at)
+
+        claims: list[asyncio.Task[None]] = []
+        started_at = next_at = steady_seconds()
+        while next_at < started_at + seconds:
+            next_at += generator.expovariate(per_second)
+            await asyncio.sleep(max(0.0, next_at - steady_seconds()))
+            claims.append(asyncio.create_task(claim(choose())))
+        await asyncio.gather(*claims)
+        return admitted, refused
+
+    def close(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        for exchange in self.exchanges.values():
+            exchange.close()
+
+
+def play(scenario: Coroutine[None, None, None]) -> None:
+    run_on_steady_loop(asyncio.wait_for(scenario, 40.0))
+
+
+def most_in_a_window(times: list[float]) -> int:
+    ordered = sorted(times)
+    return max(
+        sum(start <= each < start + MARGIN.window_seconds for each in ordered) for start in ordered
+    )
+
+
+def allowed(tenant: Tenant) -> float:
+    within = tenant.rate * MARGIN.window_seconds + tenant.burst
+    return within * (1 + MARGIN.ratio) + MARGIN.slack
+
+
+def any_daemon(fleet: Fleet, seed: int, region: str = "") -> Callable[[], str]:
+    generator = random.Random(seed)
+    names = [each.instance for each in fleet.records if region in each.region]
+    return lambda: generator.choice(names)
+
+
+def test_a_tenant_just_below_its_limit_is_not_refused_on_whatever_daemons_it_sits() -> None:
+    """Of its requests 0.001 may be refused: a large and a small tenant, then all in one region."""
+
+    async def scenario() -> None:
+        for rate, load, region in ((100.0, 85.0, ""), (6.0, 4.0, ""), (60.0, 40.0, "south")):
+            fleet = Fleet(Tenant("t", rate=rate, burst=rate))
+            await asyncio.sleep(2.5)
+            admitted, refused = await fleet.load(load, 5.0, any_daemon(fleet, 5, region))
+            fleet.close()
+            assert len(refused) <= 0.001 * (len(admitted) + len(refused))
+
+    play(scenario())
+
+
+def test_a_tenant_far_above_its_limit_gets_its_limit_and_no_more() -> None:
+    async def scenario() -> None:
+        for rate in (60.0, 5.0):
+            tenant = Tenant("t", rate=rate, burst=rate)
+            fleet = Fleet(tenant)
+            await asyncio.sleep(2.0)
+            admitted, _ = await fleet.load(7.5 * rate / 1.6, 7.0, any_daemon(fleet, 5))
+            fleet.close()
+            assert most_in_a_window(admitted) <= allowed(tenant)
+            assert len(admitted) >= 0.9 * (rate * 7.0 + rate)
+
+    play(scenario())
+
+
+def test_daemons_without_a_keeper_admit_their_equal_part_and_all_stay_within_the_limit() -> None:
+    async def scenario() -> None:
+        tenant = Tenant("t", rate=120.0, burst=20.0)
+        fleet = Fleet(tenant)
+        await asyncio.sleep(1.5)
+        fleet.network.cut = {each.peer_address for each in fleet.records if each.region == "north"}
+        admitted, _ = await fleet.load(400.0, 6.0, any_daemon(fleet, 5))
+        fleet.close()
+        assert most_in_a_window(admitted) <= allowed(tenant)
+        assert len(admitted) >= 0.7 * tenant.rate * 6.0
+        assert any(each.endswith("False") for each in fleet.lost)
+
+    play(scenario())
+
+
+def test_requests_at_a_keeper_that_falls_silent_wait_for_a_moment_and_the_next_one_serves() -> None:
+    async def scenario() -> None:
+        fleet = Fleet(Tenant("t", rate=100.0, burst=100.0))
+        await asyncio.sleep(2.0)
+        south = [each for each in fleet.records if each.region == "south"]
+        keepers = {
+            exchange._keepers.of_own_region(group)
+            for exchange in (fleet.exchanges[each.instance] for each in south)
+            for group in (0, 1)
+        }
+        fleet.network.cut = set(keepers)
+        others = [each.instance for each in south if each.peer_address not in keepers]
+        generator = random.Random(4)
+        started = steady_seconds()
+        admitted, refused = await fleet.load(20.0, 3.0, lambda: generator.choice(others))
+        assert steady_seconds() - started < 4.0
+        fleet.close()
+        late = [each for each in refused if each > started + 1.0]
+        assert len(late) <= 0.05 * len(admitted)
+
+    play(scenario())
