--- a/packages/kitekeel-daemon/src/kitekeel_daemon/request_recorder.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/request_recorder.py
@@ -11,9 +11,16 @@
 from kitekeel_daemon.routed_request import RoutedRequest
 from kitekeel_steering.clock import Clock
 from kitekeel_steering.fleet_view import FleetView
-from kitekeel_steering.log_messages import RequestAdmitted, RequestEnded, RequestSent
+from kitekeel_steering.log_messages import (
+    RequestAdmitted,
+    RequestEnded,
+    RequestSent,
+    TenantOverLimit,
+)
 from kitekeel_steering.placement_policy import Placement
 from kitekeel_steering.proxied_messages import HeaderNames, ProxiedRequest, find_header
+from kitekeel_steering.tenant_quota import Claim
+from kitekeel_steering.tenants import Tenant
 
 
 class RequestRecorder:
@@ -58,6 +65,19 @@
             )
         )
 
+    def note_over_limit(self, routed: RoutedRequest, tenant: Tenant, claim: Claim) -> None:
+        """Record that a request's tenant was over its limit."""
+        routed.lines.append(
+            TenantOverLimit(
+                request=routed.request_id,
+                at=self._clock.wall(),
+                tenant=tenant.name,
+                rate=tenant.rate,
+                burst=tenant.burst,
+                decided_by=claim.value,
+            )
+        )
+
     def note_sent(
         self,
         routed: RoutedRequest,
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/tenant_admission.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/tenant_admission.py
@@ -16,7 +16,7 @@
 from kitekeel_steering.fleet_view import FleetView
 from kitekeel_steering.log_messages import QuotaKeeperFound, QuotaKeeperLost
 from kitekeel_steering.routing import RouteTable
-from kitekeel_steering.tenant_quota import QuotaMargin, QuotaShares, quota_shares
+from kitekeel_steering.tenant_quota import Claim, QuotaMargin, QuotaShares, quota_shares
 from kitekeel_steering.tenants import Tenant
 
 # A tenant over its limit: its callers come back when it may ask again, spread so that they do not
@@ -79,16 +79,18 @@
         if self._exchange is not None:
             self._exchange.close()
 
-    async def claim(self, tenant: Tenant | None) -> bool:
-        """Take a token for one request; tell whether its tenant is within its limit."""
+    async def claim(self, tenant: Tenant | None) -> Claim | None:
+        """Take a token for one request; ``None`` where there is no limit."""
         if tenant is None:
-            return True
+            return None
         shares = self._shares_of(tenant.name)
-        is_admitted = True
-        if shares is not None and self._exchange is not None:
-            is_admitted = await self._exchange.claim(tenant.name, shares)
-        self.usage.note(tenant.name, is_admitted)
-        return is_admitted
+        if shares is None or self._exchange is None:
+            self.usage.note(tenant.name, True)
+            return None
+        claim = await self._exchange.claim(tenant.name, shares)
+        self._metrics.increment(f"quota.{claim.value}")
+        self.usage.note(tenant.name, claim.is_admitted)
+        return claim
 
     def give_back(self, tenant: Tenant | None) -> None:
         """Return the token of a request that no back end ran."""
--- a/packages/kitekeel-peers/src/kitekeel_peers/quota_exchange.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/quota_exchange.py
@@ -25,6 +25,7 @@
 from kitekeel_steering.metrics import Metrics
 from kitekeel_steering.tenant_quota import (
     LENDING_SECONDS,
+    Claim,
     LentTime,
     OwnEarnings,
     QuotaShares,
@@ -133,28 +134,29 @@
         """Make no further calls."""
         self._threads.shutdown(wait=False, cancel_futures=True)
 
-    async def claim(self, tenant: str, shares: QuotaShares) -> bool:
-        """Take a token for one request; tell whether there was one."""
+    async def claim(self, tenant: str, shares: QuotaShares) -> Claim:
+        """Take a token for one request."""
         now = self._clock.monotonic()
         self._asked_at[tenant] = now
         if self._stock(tenant).take(shares, self._daemons()):
-            self._metrics.increment("quota.tokens-from-stock")
-            return True
+            return Claim.FROM_STOCK
         group = self._groups[group_of(tenant)]
         if group.is_alone:
-            return self._take_own(group, tenant, shares, now)
+            is_taken = self._take_own(group, tenant, shares, now)
+            return Claim.EARNED_ALONE if is_taken else Claim.NONE_EARNED_ALONE
         if now < self._refused_until.get(tenant, 0.0):
-            return False
+            return Claim.NONE_A_MOMENT_AGO
         waiting = group.waiting.setdefault(tenant, _Waiting(shares))
         future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
         waiting.futures.append(future)
         self._start_exchange(group_of(tenant))
         try:
-            return await future
+            is_taken = await future
         except asyncio.CancelledError:
             if future.done() and not future.cancelled() and future.result():
                 self.give_back(tenant, shares)
             raise
+        return Claim.FROM_KEEPER if is_taken else Claim.KEEPER_HAD_NONE
 
     def give_back(self, tenant: str, shares: QuotaShares) -> None:
         """Return the token of a request that no back end ran."""
@@ -187,10 +189,7 @@
         if earnings is None:
             rounding = self._rounding(tenant)
             earnings = group.earnings[tenant] = OwnEarnings(rounding, now - group.lent.age(now))
-        is_taken = earnings.take(shares, self._daemons(), now)
-        if is_taken:
-            self._metrics.increment("quota.tokens-earned-alone")
-        return is_taken
+        return earnings.take(shares, self._daemons(), now)
 
     async def _lend_regularly(self, number: int) -> None:
         """Exchange with the keeper at each interval, also where no request waits."""
--- a/packages/kitekeel-steering/src/kitekeel_steering/tenant_quota.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/tenant_quota.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+import enum
 import math
 
 import msgspec
@@ -71,6 +72,25 @@
     return QuotaShares(tenant.rate, pooled, _STOCKED_MARGIN * extra)
 
 
+class Claim(enum.Enum):
+    """What became of a request's claim for a token, and who decided it."""
+
+    FROM_STOCK = "from-stock"
+    FROM_KEEPER = "from-keeper"
+    EARNED_ALONE = "earned-alone"
+    KEEPER_HAD_NONE = "keeper-had-none"
+    NONE_A_MOMENT_AGO = "none-a-moment-ago"
+    NONE_EARNED_ALONE = "none-earned-alone"
+
+    @property
+    def is_admitted(self) -> bool:
+        """Tell whether there was a token."""
+        return self in _ADMITTED
+
+
+_ADMITTED = frozenset({Claim.FROM_STOCK, Claim.FROM_KEEPER, Claim.EARNED_ALONE})
+
+
 class LentTime:
     """The seconds of one daemon that it has not lent yet.
 
--- a/tests/test_quota_exchange.py
+++ b/tests/test_quota_exchange.py
@@ -136,8 +136,8 @@
 
         async def claim(instance: str) -> None:
             sent_at = steady_seconds()
-            is_admitted = await self.exchanges[instance].claim(self.tenant.name, self.shares)
-            (admitted if is_admitted else refused).append(sent_at)
+            found = await self.exchanges[instance].claim(self.tenant.name, self.shares)
+            (admitted if found.is_admitted else refused).append(sent_at)
 
         claims: list[asyncio.Task[None]] = []
         started_at = next_at = steady_seconds()
