--- a/packages/kitekeel-daemon/src/kitekeel_daemon/routed_request.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/routed_request.py
@@ -22,6 +22,7 @@
         attempts: how many back ends may have received it.
         sends: how many back ends were chosen, reached or not.
         lines: its decisions so far, to be logged once it has ended.
+        was_rejected_needlessly: whether the last back end rejected it with a slot free.
         identity: the same for each try of the same request; empty where nothing is known of it.
         careful_try: the one send that it may have although it is quarantined.
     """
@@ -41,6 +42,7 @@
     attempts: int = 0
     sends: int = 0
     may_have_run: bool = False
+    was_rejected_needlessly: bool = False
     identity: str = ""
     careful_try: CarefulTry | None = None
     known: int = 0
