--- a/packages/kitekeel-daemon/src/kitekeel_daemon/tenant_admission.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/tenant_admission.py
@@ -19,9 +19,8 @@
 from kitekeel_steering.tenant_quota import Claim, QuotaMargin, QuotaShares, quota_shares
 from kitekeel_steering.tenants import Tenant
 
-# A tenant over its limit: its callers come back when it may ask again, spread so that they do not
-# come together.
-_LEAST_RETRY_AFTER_SECONDS = 0.5
+_LEAST_RETRY_AFTER_SECONDS = 0.03
+_MOST_RETRY_AFTER_SECONDS = 2.0
 
 
 class TenantAdmission:
@@ -123,6 +122,11 @@
 
 
 def quota_retry_after_seconds(tenant: Tenant) -> float:
-    """Return when a caller of a tenant over its limit should come back."""
-    least = max(_LEAST_RETRY_AFTER_SECONDS, 1.0 / max(tenant.rate, 0.001))
+    """Return when a caller of a tenant over its limit should come back.
+
+    Tokens are not kept for those who were refused, so that waiting longer than for the next ones
+    gives no better chance, and an answer that comes later than its caller needs it.
+    """
+    refill = 1.0 / max(tenant.rate, 1.0 / _MOST_RETRY_AFTER_SECONDS)
+    least = max(_LEAST_RETRY_AFTER_SECONDS, refill)
     return random.uniform(least, 2 * least)
