--- a/packages/kitekeel-daemon/src/kitekeel_daemon/request_recorder.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/request_recorder.py
@@ -11,14 +11,14 @@
 from kitekeel_daemon.routed_request import RoutedRequest
 from kitekeel_steering.clock import Clock
 from kitekeel_steering.fleet_view import FleetView
-from kitekeel_steering.log_messages import (
+from kitekeel_steering.placement_policy import Placement
+from kitekeel_steering.proxied_messages import HeaderNames, ProxiedRequest, find_header
+from kitekeel_steering.request_log_messages import (
     RequestAdmitted,
     RequestEnded,
     RequestSent,
     TenantOverLimit,
 )
-from kitekeel_steering.placement_policy import Placement
-from kitekeel_steering.proxied_messages import HeaderNames, ProxiedRequest, find_header
 from kitekeel_steering.tenant_quota import Claim
 from kitekeel_steering.tenants import Tenant
 
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/tenant_admission.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/tenant_admission.py
@@ -17,6 +17,7 @@
 from kitekeel_steering.log_messages import QuotaKeeperFound, QuotaKeeperLost
 from kitekeel_steering.routing import RouteTable
 from kitekeel_steering.tenant_quota import Claim, QuotaMargin, QuotaShares, quota_shares
+from kitekeel_steering.tenant_reports import TenantsReply
 from kitekeel_steering.tenants import Tenant
 
 _LEAST_RETRY_AFTER_SECONDS = 0.03
@@ -27,6 +28,7 @@
     """Takes a token of its tenant's limit for each request; used on one event loop.
 
     Args:
+        daemon: its name.
         view: tells the configuration in force.
         margin: how far limits may be exceeded.
         daemons: returns how many daemons share the limits.
@@ -34,6 +36,7 @@
 
     def __init__(
         self,
+        daemon: str,
         view: FleetView,
         margin: QuotaMargin,
         daemons: Callable[[], int],
@@ -41,6 +44,7 @@
         metrics: GatewayMetrics,
         log: DecisionLog,
     ) -> None:
+        self._daemon = daemon
         self._view = view
         self._margin = margin
         self._daemons = daemons
@@ -50,12 +54,14 @@
         self._routes: RouteTable | None = None
         self._shares: dict[str, QuotaShares] = {}
         self._exchange: QuotaExchange | None = None
-        self.usage = TenantUsage(clock)
+        self._table: MemberTable | None = None
+        self._usage = TenantUsage(clock)
 
     def share(
         self, client: PeerClient, table: MemberTable, server: PeerServer, generator: random.Random
     ) -> None:
         """Keep the limits together with the other daemons; see :class:`QuotaExchange`."""
+        self._table = table
         self._exchange = QuotaExchange(
             QuotaKeepers(table.own, table.live, self._clock),
             self._shares_of,
@@ -84,11 +90,11 @@
             return None
         shares = self._shares_of(tenant.name)
         if shares is None or self._exchange is None:
-            self.usage.note(tenant.name, True)
+            self._usage.note(tenant.name, True)
             return None
         claim = await self._exchange.claim(tenant.name, shares)
         self._metrics.increment(f"quota.{claim.value}")
-        self.usage.note(tenant.name, claim.is_admitted)
+        self._usage.note(tenant.name, claim.is_admitted)
         return claim
 
     def give_back(self, tenant: Tenant | None) -> None:
@@ -101,6 +107,28 @@
         """Tell whether limits are kept by this daemon's equal part, as no keeper answers."""
         return self._exchange is not None and self._exchange.is_alone()
 
+    def report(self) -> TenantsReply:
+        """Return what operators may know of the tenants' use of their limits."""
+        routes = self._view.routes
+        return TenantsReply(
+            self._daemon,
+            self._view.configuration_version(),
+            self.is_alone(),
+            self._other_daemons(),
+            self._usage.reports(routes) if routes is not None else (),
+        )
+
+    def _other_daemons(self) -> tuple[str, ...]:
+        """Return the operators' addresses of the other daemons."""
+        if self._table is None:
+            return ()
+        own = self._table.own().instance
+        return tuple(
+            each.operator_address
+            for each in self._table.live()
+            if each.instance != own and each.operator_address
+        )
+
     def _shares_of(self, tenant: str) -> QuotaShares | None:
         return self._current_shares().get(tenant)
 
--- a/packages/kitekeel-lab/src/kitekeel_lab/reference.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/reference.py
@@ -15,7 +15,8 @@
 from kitekeel_platform import fleet_store
 from kitekeel_steering import errors, gateway_settings, http_stream
 from kitekeel_steering.errors import KitekeelError
-from kitekeel_steering.log_messages import LogMessage, all_messages
+from kitekeel_steering.log_catalogue import all_messages
+from kitekeel_steering.log_messages import LogMessage
 from kitekeel_steering.placement_policy import RefusalReason
 
 _SETTINGS = (
--- /dev/null
+++ b/packages/kitekeel-steering/src/kitekeel_steering/log_catalogue.py
@@ -0,0 +1,20 @@
+"""Every kind of line that a gateway daemon writes."""
+
+from __future__ import annotations
+
+import inspect
+from types import ModuleType
+
+from kitekeel_steering import log_messages, request_log_messages
+from kitekeel_steering.log_messages import LogMessage
+
+
+def all_messages() -> list[type[LogMessage]]:
+    """Return every kind of line, in the order of their modules."""
+    return [*_messages_of(log_messages), *_messages_of(request_log_messages)]
+
+
+def _messages_of(module: ModuleType) -> list[type[LogMessage]]:
+    found = inspect.getmembers(module, inspect.isclass)
+    kinds = [kind for _, kind in found if issubclass(kind, LogMessage) and kind is not LogMessage]
+    return sorted(kinds, key=lambda kind: inspect.getsourcelines(kind)[1])
