Keepers answer on the peer server's threads, and ask other regions before they refuse

Change: pools are locked and served on the peer server's threads; a keeper that has no token of a tenant asks two other regions, 0.1 s each at most, before it answers; where they had none that is repeated after 0.2 to 1 s only.

--- a/packages/kitekeel-peers/src/kitekeel_peers/quota_exchange.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/quota_exchange.py
@@ -12,10 +12,10 @@
 from collections import Counter
 from collections.abc import Callable, Coroutine
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 
 import xxhash
 
-from kitekeel_peers.loop_handler import on_event_loop
 from kitekeel_peers.quota_keepers import GROUPS, QuotaKeepers, group_of
 from kitekeel_peers.quota_messages import QuotaReply, QuotaRequest, QuotaWant
 from kitekeel_peers.quota_pools import QuotaPools
@@ -36,7 +36,7 @@
 # A request waits for the answer, so that a silent keeper must not cost it its time.
 _TIMEOUT_SECONDS = 0.25
 _KEEPERS_TRIED = 2
-_CALL_THREADS = 4
+_CALL_THREADS = 6
 # A daemon that got no token of a tenant refuses its requests for so long without asking again.
 _LEAST_PAUSE_SECONDS = 0.08
 _MOST_PAUSE_SECONDS = 0.2
@@ -119,13 +119,20 @@
         self._asked_at: dict[str, float] = {}
         self._refused_until: dict[str, float] = {}
         self._pools = QuotaPools(
-            GROUPS, keepers, shares_of, daemons, self._call, clock, self._metrics
+            GROUPS,
+            keepers,
+            shares_of,
+            daemons,
+            self._call,
+            self._threads,
+            clock,
+            generator,
+            metrics,
         )
 
     def register(self, server: PeerServer) -> None:
         """Serve the method."""
-        loop = asyncio.get_running_loop()
-        server.register(QUOTA, QuotaRequest, on_event_loop(self._reply, loop, _TIMEOUT_SECONDS))
+        server.register(QUOTA, QuotaRequest, self._pools.serve)
 
     def loops(self) -> list[Coroutine[None, None, None]]:
         """Return the loops to run until the daemon stops."""
@@ -291,11 +298,8 @@
             request = QuotaRequest(
                 number, self._keepers.own_address(), seconds, self._daemons(), wants
             )
-            if address == request.sender:
-                self._note_keeper(number, group, True, "")
-                return self._pools.serve(request)
             try:
-                reply = await self._call(address, request)
+                reply = await self._ask(address, request)
             except PeerUnreachableError as error:
                 self._keepers.note_failure(address)
                 reason = error.message
@@ -328,20 +332,16 @@
             )
             requests.decide(tokens)
 
-    async def _call(self, address: str, request: QuotaRequest) -> QuotaReply:
+    async def _ask(self, address: str, request: QuotaRequest) -> QuotaReply:
         loop = asyncio.get_running_loop()
+        is_own = address == request.sender
+        serve = self._pools.serve if is_own else partial(self._call, address)
         try:
-            return await loop.run_in_executor(
-                self._threads,
-                self._client.call,
-                address,
-                QUOTA,
-                request,
-                QuotaReply,
-                _TIMEOUT_SECONDS,
-            )
+            return await loop.run_in_executor(self._threads, serve, request)
         except RuntimeError as error:
             raise PeerError(f"{QUOTA} at {address}: this daemon is ending") from error
 
-    async def _reply(self, request: QuotaRequest) -> QuotaReply:
-        return self._pools.serve(request)
+    def _call(
+        self, address: str, request: QuotaRequest, timeout_seconds: float = _TIMEOUT_SECONDS
+    ) -> QuotaReply:
+        return self._client.call(address, QUOTA, request, QuotaReply, timeout_seconds)
--- a/packages/kitekeel-peers/src/kitekeel_peers/quota_pools.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/quota_pools.py
@@ -1,10 +1,16 @@
-"""A keeper's side of the exchange of tokens: it serves daemons, and other regions' keepers."""
+"""A keeper's side of the exchange of tokens: it serves daemons, and other regions' keepers.
+
+Calls are served on the threads of the peer server: a daemon whose event loop is busy for some
+tenths of a second, as with a new configuration, would else hold up the requests of its region.
+"""
 
 from __future__ import annotations
 
-import asyncio
 import math
-from collections.abc import Awaitable, Callable
+import random
+import threading
+from collections.abc import Callable, Iterable
+from concurrent.futures import Executor
 
 from kitekeel_peers.quota_keepers import QuotaKeepers
 from kitekeel_peers.quota_messages import QuotaGrant, QuotaReply, QuotaRequest, QuotaWant
@@ -14,22 +20,33 @@
 from kitekeel_steering.metrics import Metrics
 from kitekeel_steering.tenant_quota import QuotaPool, QuotaShares
 
-# A pool that holds less than its demand of this time asks the other regions for as much.
+# A pool that holds less than its demand of this time asks other regions for as much.
 _KEPT_SECONDS = 0.5
-# A tenant whose pools are empty everywhere is asked about at this interval.
+# Two of many regions are asked at a time.
+_REGIONS_ASKED = 2
+# A tenant whose pools were found empty is asked about again after this time, doubling.
 _LEAST_PULL_INTERVAL_SECONDS = 0.2
 _LONGEST_PULL_INTERVAL_SECONDS = 1.0
+# Requests wait for it, where there is no token at all.
+_PULL_TIMEOUT_SECONDS = 0.1
 
-Call = Callable[[str, QuotaRequest], Awaitable[QuotaReply]]
+Call = Callable[[str, QuotaRequest, float], QuotaReply]
 
 
 class QuotaPools:
-    """The pools of one daemon, one for each group of tenants; used on one event loop.
+    """The pools of one daemon, one for each group of tenants; safe to use from many threads.
 
     Every daemon has them, and those of one that nobody takes for a keeper stay empty.
 
     Args:
-        call: asks another daemon.
+        groups: how many groups of tenants there are.
+        keepers: tells who keeps tokens in the other regions.
+        shares_of: returns a tenant's shares by the configuration in force, ``None`` where that
+            states no limit or no such tenant.
+        daemons: returns how many daemons share the limits.
+        call: asks another daemon, waiting for so many seconds at most.
+        executor: runs what no request waits for.
+        generator: chooses among the regions.
     """
 
     def __init__(
@@ -39,7 +56,9 @@
         shares_of: Callable[[str], QuotaShares | None],
         daemons: Callable[[], int],
         call: Call,
+        executor: Executor,
         clock: Clock,
+        generator: random.Random,
         metrics: Metrics,
     ) -> None:
         self._pools = [QuotaPool() for _ in range(groups)]
@@ -47,35 +66,56 @@
         self._shares_of = shares_of
         self._daemons = daemons
         self._call = call
+        self._executor = executor
         self._clock = clock
+        self._random = generator
         self._metrics = metrics
+        self._lock = threading.Lock()
         self._demands: dict[str, DemandRate] = {}
         self._pulled_at: dict[str, float] = {}
         self._pull_intervals: dict[str, float] = {}
-        self._pulls: set[asyncio.Task[None]] = set()
 
     def serve(self, request: QuotaRequest) -> QuotaReply:
-        """Take the seconds that a daemon lends, and return what there is of the tokens it wants."""
+        """Take the seconds that a daemon lends, and return what there is of the tokens it wants.
+
+        Where there is none of a tenant, other regions are asked before the answer is given.
+        """
         if not 0 <= request.group < len(self._pools):
             return QuotaReply(())
+        granted = self._take(request, request.wants)
+        if request.is_keeper:
+            return _reply(granted)
+        lacking = self._lacking(request)
+        if not lacking:
+            return _reply(granted)
+        unserved = [
+            each for each in request.wants if each.tokens > 0 and each.tenant not in granted
+        ]
+        if not any(each.tenant == want.tenant for each in unserved for want in lacking):
+            self._executor.submit(self._pull, request.group, lacking)
+            return _reply(granted)
+        self._pull(request.group, lacking)
+        granted |= self._take(request, unserved, lends=False)
+        return _reply(granted)
+
+    def _take(
+        self, request: QuotaRequest, wants: Iterable[QuotaWant], lends: bool = True
+    ) -> dict[str, int]:
+        """Return the tokens given out, by tenant."""
         now = self._clock.monotonic()
         daemons = max(request.daemons, self._daemons())
         pool = self._pools[request.group]
-        if not request.is_keeper:
-            pool.lend(request.sender, request.seconds, daemons, now)
-        grants: list[QuotaGrant] = []
-        short: list[QuotaWant] = []
-        for want in request.wants:
-            granted = self._serve_one(pool, want, request.is_keeper, now, daemons)
-            if granted:
-                grants.append(QuotaGrant(want.tenant, granted))
-            if not request.is_keeper:
-                short += self._what_to_pull(pool, want, now, daemons)
-        if short:
-            self._pull(request.group, tuple(short))
-        return QuotaReply(tuple(grants))
-
-    def _serve_one(
+        granted: dict[str, int] = {}
+        with self._lock:
+            if lends and not request.is_keeper:
+                pool.lend(request.sender, request.seconds, daemons, now)
+            for want in wants:
+                tokens = self._take_one(pool, want, request.is_keeper, now, daemons)
+                if tokens:
+                    granted[want.tenant] = tokens
+        return granted
+
+    def _take_one(
         self, pool: QuotaPool, want: QuotaWant, is_keeper: bool, now: float, daemons: int
     ) -> int:
         shares = self._shares_of(want.tenant) or want.shares
@@ -86,49 +126,72 @@
             return pool.take_part(want.tenant, shares, want.tokens, now, daemons)
         return pool.take(want.tenant, shares, want.tokens, now, daemons)
 
-    def _what_to_pull(
+    def _lacking(self, request: QuotaRequest) -> tuple[QuotaWant, ...]:
+        """Return what to ask other regions for, where this one's demand outruns its part."""
+        now = self._clock.monotonic()
+        daemons = max(request.daemons, self._daemons())
+        pool = self._pools[request.group]
+        with self._lock:
+            found = [self._lacking_of(pool, each, now, daemons) for each in request.wants]
+        return tuple(each for each in found if each is not None)
+
+    def _lacking_of(
         self, pool: QuotaPool, want: QuotaWant, now: float, daemons: int
-    ) -> list[QuotaWant]:
-        """Return what to ask the other regions for, where this one's demand outruns its part."""
+    ) -> QuotaWant | None:
+        if want.tokens <= 0:
+            return None
         demand = self._demands.setdefault(want.tenant, DemandRate(now))
-        demand.note(max(0, want.tokens), now)
+        demand.note(want.tokens, now)
         shares = self._shares_of(want.tenant) or want.shares
-        kept = demand.per_second(now) * _KEPT_SECONDS
+        kept = max(float(want.tokens), demand.per_second(now) * _KEPT_SECONDS)
         lacking = kept - pool.level(want.tenant, shares, now, daemons)
-        interval = self._pull_intervals.get(want.tenant, _LEAST_PULL_INTERVAL_SECONDS)
-        if lacking <= 0 or now - self._pulled_at.get(want.tenant, 0.0) < interval:
-            return []
+        interval = self._pull_intervals.get(want.tenant, 0.0)
+        if lacking <= 0 or now - self._pulled_at.get(want.tenant, -math.inf) < interval:
+            return None
         self._pulled_at[want.tenant] = now
-        return [QuotaWant(want.tenant, math.ceil(lacking), shares)]
+        return QuotaWant(want.tenant, math.ceil(lacking), shares)
 
     def _pull(self, group: int, wants: tuple[QuotaWant, ...]) -> None:
-        for address in self._keepers.of_other_regions(group):
-            task = asyncio.get_running_loop().create_task(self._pull_from(address, group, wants))
-            self._pulls.add(task)
-            task.add_done_callback(self._pulls.discard)
-
-    async def _pull_from(self, address: str, group: int, wants: tuple[QuotaWant, ...]) -> None:
+        """Ask some other regions, one after the other, until one has what is lacking."""
+        addresses = self._keepers.of_other_regions(group)
+        asked = self._random.sample(addresses, min(_REGIONS_ASKED, len(addresses)))
+        gained: set[str] = set()
+        for address in asked:
+            left = tuple(each for each in wants if each.tenant not in gained)
+            if left:
+                gained |= self._pull_from(address, group, left)
+        with self._lock:
+            for want in wants:
+                self._adapt_interval(want.tenant, want.tenant in gained)
+
+    def _pull_from(self, address: str, group: int, wants: tuple[QuotaWant, ...]) -> set[str]:
+        """Return the tenants of which a region gave tokens."""
         own = self._keepers.own_address()
         request = QuotaRequest(group, own, 0.0, self._daemons(), wants, is_keeper=True)
         try:
-            reply = await self._call(address, request)
+            reply = self._call(address, request, _PULL_TIMEOUT_SECONDS)
         except PeerError:
             # The peer client counts it; another keeper of that region is asked next time.
             self._keepers.note_failure(address)
-            return
-        granted = {each.tenant: each.tokens for each in reply.grants}
+            return set()
+        shares = {each.tenant: self._shares_of(each.tenant) or each.shares for each in wants}
         now = self._clock.monotonic()
-        for want in wants:
-            tokens = granted.get(want.tenant, 0)
-            self._adapt_interval(want.tenant, tokens > 0)
-            shares = self._shares_of(want.tenant) or want.shares
-            if tokens:
-                self._metrics.increment("quota.tokens-from-other-regions", tokens)
-                self._pools[group].add(want.tenant, shares, tokens, now, self._daemons())
+        with self._lock:
+            for grant in reply.grants:
+                if grant.tenant in shares:
+                    self._metrics.increment("quota.tokens-from-other-regions", grant.tokens)
+                    self._pools[group].add(
+                        grant.tenant, shares[grant.tenant], grant.tokens, now, self._daemons()
+                    )
+        return {each.tenant for each in reply.grants}
 
     def _adapt_interval(self, tenant: str, has_gained: bool) -> None:
         if has_gained:
             self._pull_intervals.pop(tenant, None)
             return
-        interval = self._pull_intervals.get(tenant, _LEAST_PULL_INTERVAL_SECONDS)
+        interval = self._pull_intervals.get(tenant, _LEAST_PULL_INTERVAL_SECONDS / 2)
         self._pull_intervals[tenant] = min(2 * interval, _LONGEST_PULL_INTERVAL_SECONDS)
+
+
+def _reply(granted: dict[str, int]) -> QuotaReply:
+    return QuotaReply(tuple(QuotaGrant(tenant, tokens) for tenant, tokens in granted.items()))
