Pulls of tokens wait for connections to distant regions; room beside homed tenants is taken back

The first call to a region must open a connection, several round trips of 70 ms; it failed, and that region's keeper was passed over for 5 s, again and again.

Change: regions are asked at the same time, with 1 s each; requests wait 0.18 s of it at most, and tokens that come later are kept.

--- a/packages/kitekeel-peers/src/kitekeel_peers/quota_exchange.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/quota_exchange.py
@@ -34,9 +34,9 @@
 
 QUOTA = "Quota"
 # A request waits for the answer, so that a silent keeper must not cost it its time.
-_TIMEOUT_SECONDS = 0.25
+_TIMEOUT_SECONDS = 0.3
 _KEEPERS_TRIED = 2
-_CALL_THREADS = 6
+_CALL_THREADS = 8
 # A daemon that got no token of a tenant refuses its requests for so long without asking again.
 _LEAST_PAUSE_SECONDS = 0.08
 _MOST_PAUSE_SECONDS = 0.2
--- a/packages/kitekeel-peers/src/kitekeel_peers/quota_pools.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/quota_pools.py
@@ -10,7 +10,7 @@
 import random
 import threading
 from collections.abc import Callable, Iterable
-from concurrent.futures import Executor
+from concurrent.futures import Executor, Future, wait
 
 from kitekeel_peers.quota_keepers import QuotaKeepers
 from kitekeel_peers.quota_messages import QuotaGrant, QuotaReply, QuotaRequest, QuotaWant
@@ -27,8 +27,10 @@
 # A tenant whose pools were found empty is asked about again after this time, doubling.
 _LEAST_PULL_INTERVAL_SECONDS = 0.2
 _LONGEST_PULL_INTERVAL_SECONDS = 1.0
-# Requests wait for it, where there is no token at all.
-_PULL_TIMEOUT_SECONDS = 0.1
+# Opening a connection to a distant region takes several round trips of up to 0.12 s.
+_PULL_TIMEOUT_SECONDS = 1.0
+# Where there is no token at all, requests wait so long for a region that answers at once.
+_WAIT_SECONDS = 0.18
 
 Call = Callable[[str, QuotaRequest, float], QuotaReply]
 
@@ -88,14 +90,13 @@
         lacking = self._lacking(request)
         if not lacking:
             return _reply(granted)
+        pulls = self._pull(request.group, lacking)
         unserved = [
             each for each in request.wants if each.tokens > 0 and each.tenant not in granted
         ]
-        if not any(each.tenant == want.tenant for each in unserved for want in lacking):
-            self._executor.submit(self._pull, request.group, lacking)
-            return _reply(granted)
-        self._pull(request.group, lacking)
-        granted |= self._take(request, unserved, lends=False)
+        if any(each.tenant == want.tenant for each in unserved for want in lacking):
+            wait(pulls, _WAIT_SECONDS)
+            granted |= self._take(request, unserved, lends=False)
         return _reply(granted)
 
     def _take(
@@ -151,21 +152,13 @@
         self._pulled_at[want.tenant] = now
         return QuotaWant(want.tenant, math.ceil(lacking), shares)
 
-    def _pull(self, group: int, wants: tuple[QuotaWant, ...]) -> None:
-        """Ask some other regions, one after the other, until one has what is lacking."""
+    def _pull(self, group: int, wants: tuple[QuotaWant, ...]) -> list[Future[None]]:
+        """Begin to ask some other regions for what is lacking."""
         addresses = self._keepers.of_other_regions(group)
         asked = self._random.sample(addresses, min(_REGIONS_ASKED, len(addresses)))
-        gained: set[str] = set()
-        for address in asked:
-            left = tuple(each for each in wants if each.tenant not in gained)
-            if left:
-                gained |= self._pull_from(address, group, left)
-        with self._lock:
-            for want in wants:
-                self._adapt_interval(want.tenant, want.tenant in gained)
+        return [self._executor.submit(self._pull_from, each, group, wants) for each in asked]
 
-    def _pull_from(self, address: str, group: int, wants: tuple[QuotaWant, ...]) -> set[str]:
-        """Return the tenants of which a region gave tokens."""
+    def _pull_from(self, address: str, group: int, wants: tuple[QuotaWant, ...]) -> None:
         own = self._keepers.own_address()
         request = QuotaRequest(group, own, 0.0, self._daemons(), wants, is_keeper=True)
         try:
@@ -173,17 +166,20 @@
         except PeerError:
             # The peer client counts it; another keeper of that region is asked next time.
             self._keepers.note_failure(address)
-            return set()
-        shares = {each.tenant: self._shares_of(each.tenant) or each.shares for each in wants}
+            return
+        given = {each.tenant: each.tokens for each in reply.grants}
         now = self._clock.monotonic()
         with self._lock:
-            for grant in reply.grants:
-                if grant.tenant in shares:
-                    self._metrics.increment("quota.tokens-from-other-regions", grant.tokens)
-                    self._pools[group].add(
-                        grant.tenant, shares[grant.tenant], grant.tokens, now, self._daemons()
-                    )
-        return {each.tenant for each in reply.grants}
+            for want in wants:
+                self._take_in(group, want, given.get(want.tenant, 0), now)
+
+    def _take_in(self, group: int, want: QuotaWant, tokens: int, now: float) -> None:
+        self._adapt_interval(want.tenant, tokens > 0)
+        if not tokens:
+            return
+        self._metrics.increment("quota.tokens-from-other-regions", tokens)
+        shares = self._shares_of(want.tenant) or want.shares
+        self._pools[group].add(want.tenant, shares, tokens, now, self._daemons())
 
     def _adapt_interval(self, tenant: str, has_gained: bool) -> None:
         if has_gained:
--- a/packages/kitekeel-steering/src/kitekeel_steering/key_division.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/key_division.py
@@ -12,7 +12,6 @@
 import msgspec
 
 from kitekeel_steering.gradual_share import GradualShare
-from kitekeel_steering.homed_demand import HomedShares
 from kitekeel_steering.placement_policy import Candidates
 from kitekeel_steering.region_ranking import RegionPlan, RegionRoom, local_share, region_room
 from kitekeel_steering.slow_start import SlowStart
@@ -22,9 +21,6 @@
 _LEAST_TOLD_CHANGE = 0.05
 
 
-_NOBODY_HOMED: HomedShares = {}
-
-
 class LocalShareTarget(msgspec.Struct, frozen=True):
     """What a region's part of a service's keys moves toward, and why.
 
@@ -52,13 +48,11 @@
             object until that changes.
         is_shared: tells whether other regions ask for the same objects of a service.
         on_target: is called where a region's share of keys begins to move.
-        homed: returns what tenants with homes ask for, which takes room there.
     """
 
     demand_by_region: Callable[[], Mapping[str, float]]
     is_shared: Callable[[str], bool] = lambda _service: False
     on_target: Callable[[LocalShareTarget], None] = lambda _target: None
-    homed: Callable[[], HomedShares] = lambda: _NOBODY_HOMED
 
 
 class _Observed(msgspec.Struct, frozen=True):
@@ -67,7 +61,6 @@
     candidates: Candidates
     demand_by_region: Mapping[str, float]
     is_shared: bool
-    homed: HomedShares
     room: RegionRoom
 
 
@@ -106,8 +99,7 @@
         self._target = self._told_target = self._find_target()
         self._share = GradualShare(self._target, now)
         self.plan = RegionPlan(own_region, self._target)
-        self.factors: Mapping[str, float] = {}
-        self._take_factors()
+        self.factors = self._slow_start.factors()
 
     def follow(self, candidates: Candidates, now: float) -> None:
         """Take over what has been observed since, as far as the time allows."""
@@ -123,34 +115,18 @@
             self.plan = RegionPlan(self._own_region, value)
         if self._slow_start.is_due(now):
             self._slow_start.step(now)
-        self._take_factors()
+        self.factors = self._slow_start.factors()
 
     def note_held_back(self, now: float) -> None:
         """Count a request refused since too many had left the region already."""
         self._pressure.note_held_back(now)
 
-    def _take_factors(self) -> None:
-        """Join the factors of back ends that start slowly and of regions that are partly taken."""
-        starting = self._slow_start.factors()
-        by_region = self._observed.room.free_factors
-        if not by_region:
-            self.factors = starting
-            return
-        joined = {
-            each.record.instance: by_region.get(each.region, 1.0)
-            * starting.get(each.record.instance, 1.0)
-            for each in self._observed.candidates.members
-        }
-        if joined != self.factors:
-            self.factors = joined
-
     def _has_changed(self, candidates: Candidates) -> bool:
         known = self._observed
         return (
             known.candidates is not candidates
             or known.demand_by_region is not self._regions.demand_by_region()
             or known.is_shared is not self._regions.is_shared(self._service)
-            or known.homed is not self._homed(candidates)
         )
 
     def _take_over(self, candidates: Candidates, now: float) -> None:
@@ -175,18 +151,12 @@
             self._tell(self._target)
 
     def _observe(self, candidates: Candidates, before: _Observed | None) -> _Observed:
-        homed = self._homed(candidates)
-        if before is not None and before.candidates is candidates and before.homed == homed:
+        if before is not None and before.candidates is candidates:
             room = before.room
         else:
-            room = region_room(self._own_region, candidates.members, homed)
+            room = region_room(self._own_region, candidates.members)
         demand = self._regions.demand_by_region()
-        is_shared = self._regions.is_shared(self._service)
-        return _Observed(candidates, demand, is_shared, homed, room)
-
-    def _homed(self, candidates: Candidates) -> HomedShares:
-        """Return what takes room beside the requests in question; homed ones use all of it."""
-        return _NOBODY_HOMED if candidates.home_regions else self._regions.homed()
+        return _Observed(candidates, demand, self._regions.is_shared(self._service), room)
 
     def _find_target(self) -> float:
         """Return the part of the keys that the region keeps in the end.
--- a/packages/kitekeel-steering/src/kitekeel_steering/region_ranking.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/region_ranking.py
@@ -13,7 +13,6 @@
 
 import msgspec
 
-from kitekeel_steering.homed_demand import HomedShares, free_factors
 from kitekeel_steering.placement_policy import Candidate
 from kitekeel_steering.rendezvous import weight
 
@@ -82,37 +81,22 @@
 
 
 class RegionRoom(msgspec.Struct, frozen=True):
-    """The slots of the back ends that may serve a service's keys, as far as they are free for them.
+    """The slots of the back ends that may serve a service's keys."""
 
-    Attributes:
-        free_factors: which part of a region's slots that is, where it is not all.
-    """
-
-    own_slots: float
-    all_slots: float
-    free_factors: Mapping[str, float] = {}
+    own_slots: int
+    all_slots: int
 
     def share(self) -> float:
         """Return the own region's part, 0 to 1."""
         return self.own_slots / self.all_slots if self.all_slots else 0.0
 
 
-def region_room(
-    own_region: str, candidates: Iterable[Candidate], homed: HomedShares | None = None
-) -> RegionRoom:
-    """Return the slots of one region and of all.
-
-    Args:
-        own_region: the region.
-        candidates: the back ends.
-        homed: what tenants with homes ask for, which takes room there.
-    """
+def region_room(own_region: str, candidates: Iterable[Candidate]) -> RegionRoom:
+    """Return the slots of one region and of all."""
     slots: dict[str, int] = defaultdict(int)
     for each in candidates:
         slots[each.region] += max(1, each.record.slots)
-    factors = free_factors(slots, homed or {})
-    free = {region: count * factors.get(region, 1.0) for region, count in slots.items()}
-    return RegionRoom(free.get(own_region, 0.0), sum(free.values()), factors)
+    return RegionRoom(slots[own_region], sum(slots.values()))
 
 
 def local_share(
