A request that took no token of its tenant gives none back

Cause, by reading: a request admitted while its tenant had no limit gave a token back if no back end ran it, which nobody had earned where a limit had come in the meantime.

--- a/tests/test_gateway_tenants.py
+++ b/tests/test_gateway_tenants.py
@@ -202,3 +202,25 @@
         assert "2 daemons, configuration 2" in text and "library" in text and KEY not in text
 
     play(scenario)
+
+
+def test_a_request_that_took_no_token_gives_none_back() -> None:
+    """A limit that comes while it is under way must not begin with tokens that nobody earned."""
+
+    async def scenario() -> None:
+        store, (back_end,) = await fleet(1)
+        await store.put_configuration(with_tenants(2, LIBRARY))
+        gateway = await RunningGateway(store, "g1").start()
+        back_end.sheds = True
+        given_back: list[Tenant | None] = []
+        gateway.gateway._tenants.give_back = given_back.append  # type: ignore[method-assign]
+        await ask(gateway.callers, "/unsafe/x", "r1", headers=(BEARER,))
+        await store.put_configuration(
+            with_tenants(3, msgspec.structs.replace(LIBRARY, rate=100.0, burst=100.0))
+        )
+        assert await until(lambda: gateway.gateway.view.configuration_version() == 3, 2.0)
+        await asyncio.sleep(1.0)
+        await ask(gateway.callers, "/unsafe/x", "r2", headers=(BEARER,))
+        assert len(given_back) == 1
+
+    play(scenario)
