Daemons lend at most half a second: a pause of all of them adds no tokens

Cause: a daemon that did not lend for a while kept up to five seconds. What may lie unused counts half a second, so that daemons which were all paused for 5 s and asked again 4 s later admitted 142 requests in a window of 141 allowed.

Change: no more than half a second is lent, and daemons lend a little more often.

--- a/packages/kitekeel-peers/src/kitekeel_peers/quota_exchange.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/quota_exchange.py
@@ -206,7 +206,7 @@
         tokens there are.
         """
         while True:
-            await asyncio.sleep(LENDING_SECONDS * self._random.uniform(0.8, 1.0))
+            await asyncio.sleep(LENDING_SECONDS * self._random.uniform(0.7, 0.9))
             if self._has_limits():
                 self._start_exchange(number)
 
--- a/packages/kitekeel-steering/src/kitekeel_steering/tenant_quota.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/tenant_quota.py
@@ -26,8 +26,9 @@
 _STOCKED_MARGIN = 0.2
 _POOLED_MARGIN = 0.6
 _LEAST_POOLED_MARGIN = 0.1
-# A daemon that was silent for longer lends no more than this.
-_LONGEST_LOAN_SECONDS = 5.0
+# A daemon that was silent for longer lends no more than this: seconds that all daemons kept while
+# they were paused together would else come on top of those of the next window.
+_LONGEST_LOAN_SECONDS = LENDING_SECONDS
 # A lender that was not heard of for this long counts no longer toward a pool's share.
 _LENDER_MEMORY_SECONDS = 5.0
 _MOVED_LIFE_SECONDS = 2.0
@@ -68,7 +69,7 @@
     if tenant.rate <= 0:
         return None
     extra = margin.ratio * (tenant.rate * margin.window_seconds + tenant.burst) + margin.slack
-    unlent = tenant.rate * LENDING_SECONDS
+    unlent = tenant.rate * _LONGEST_LOAN_SECONDS
     pooled = max(_LEAST_POOLED_MARGIN * extra, tenant.burst + _POOLED_MARGIN * extra - unlent)
     return QuotaShares(tenant.rate, pooled, _STOCKED_MARGIN * extra)
 
--- a/tests/test_quota_model.py
+++ b/tests/test_quota_model.py
@@ -129,6 +129,16 @@
 TestQuotaModel.settings = settings(max_examples=150, stateful_step_count=60, deadline=None)
 
 
+def test_seconds_kept_while_all_were_paused_do_not_come_on_top_of_the_next_window() -> None:
+    """All daemons pause for 5 s, and for 4 s again, and are asked for too much after each."""
+    model = QuotaModel()
+    model.time_passes(5.0)
+    model.all_ask_their_keepers([0], 7)
+    model.time_passes(4.0)
+    model.all_ask_their_keepers([0], 6)
+    model.no_window_holds_more_than_is_allowed()
+
+
 def test_a_tenant_that_asks_for_too_much_gets_its_rate() -> None:
     """All daemons ask for ten times the limit through three keepers for 30 s."""
     generator = random.Random(7)
