Read and log rate limits advertised by back ends

Cause: no log line or metric showed that a back end advertises a rate limit, so the daemons' own output could not tell whether limits are unknown to all daemons or kept by each daemon alone.

Change: daemons parse the rate limit header of answers as a decimal number; if there are several values, the lowest applies. Routing decisions are unchanged.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/answer_headers.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/answer_headers.py
@@ -7,6 +7,10 @@
 from __future__ import annotations
 
 import math
+import re
+from collections.abc import Sequence
+
+import msgspec
 
 from kitekeel_steering.back_end_load import AnsweredLoad
 from kitekeel_steering.fleet_items import LONGEST_COLD_SECONDS, MOST_SLOTS
@@ -14,6 +18,24 @@
 
 # Far more than a back end of the most slots can have running and waiting.
 _MOST_REQUESTS = 100 * MOST_SLOTS
+_DECIMAL = re.compile(rb"\d{1,20}(\.\d{0,20})?|\.\d{1,20}")
+
+
+class ParsedRateLimit(msgspec.Struct, frozen=True):
+    """The parsed rate limit header of an answer.
+
+    Attributes:
+        rate: the lowest valid value, in requests per second; ``None`` if there is none.
+        unreadable: the values that are not decimal numbers.
+    """
+
+    rate: float | None = None
+    unreadable: tuple[bytes, ...] = ()
+
+    @property
+    def is_known(self) -> bool:
+        """Return whether the header is absent or has at least one valid value."""
+        return self.rate is not None or not self.unreadable
 
 
 def read_load(value: bytes | None) -> AnsweredLoad | None:
@@ -35,3 +57,16 @@
     if seconds is None or seconds > LONGEST_COLD_SECONDS:
         return None
     return seconds
+
+
+def read_rate_limit(values: Sequence[bytes]) -> ParsedRateLimit:
+    """Parse the values of the rate limit header; the lowest valid value applies.
+
+    Example:
+        >>> read_rate_limit([b"3, 2.5"]).rate, read_rate_limit([]).rate, read_rate_limit([b"-1"])
+        (2.5, None, ParsedRateLimit(rate=None, unreadable=(b'-1',)))
+    """
+    parts = [part.strip() for value in values for part in value.split(b",")]
+    unreadable = tuple(part for part in parts if _DECIMAL.fullmatch(part) is None)
+    rates = [float(part) for part in parts if _DECIMAL.fullmatch(part) is not None]
+    return ParsedRateLimit(min(rates, default=None), unreadable)
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/view_changes.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/view_changes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from kitekeel_backends.connection_pool import ConnectionPool
+from kitekeel_daemon.back_end_limiter import BackEndLimiter
 from kitekeel_daemon.back_end_states import BackEndStates
 from kitekeel_daemon.decision_log import DecisionLog
 from kitekeel_daemon.departures import Departures
@@ -23,11 +24,12 @@
         departures: Departures,
         running: RunningExchanges,
         ends: ProcessEnds,
+        limiter: BackEndLimiter,
         pool: ConnectionPool,
         metrics: GatewayMetrics,
         log: DecisionLog,
     ) -> None:
-        self._followers = (states, departures, running, ends)
+        self._followers = (states, departures, running, ends, limiter)
         self._pool = pool
         self._metrics = metrics
         self._log = log
