Enforce back ends' rate limits across all daemons

Symptom: callers saw nothing, but a back end that advertised 3 requests per second received 27 in 4 s, where 23 are allowed, from daemons that it had informed of the limit.

Cause: the limit was defined on the wire but no routing decision read it, so requests were still routed by key as before.

Change: limits are enforced with the same tokens as tenants' limits. Each daemon lends its seconds to its region's keeper, which forwards the tokens to the keeper of the back end's region every 0.2 s. They are pooled there, so that a limit of 1 per second is not split into fractions of a token in many places. A request takes a token before it is sent, whether it is a first send, a repeat or sent to a stand-in. A request without a token is not sent if the limit became known while it waited for a connection. If there is no token, the next back end of the key serves the request. If all back ends are at their limits, the request is refused at once with a Retry-After of one to two refill intervals. A limit below 0.25 per second, or 0, is enforced as 0.25 per second, so that an answer shows when it ends.

A limit ends with an answer that has none, and with the back end's process.

A daemon that starts beside running ones and finds all daemons listed in the store assumes 16 daemons for 4 s instead of 10 s, and only for its own part. A keeper that had just started used to apply the assumption to all its lenders.

Quota and limit messages are fuzzed.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/answer_headers.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/answer_headers.py
@@ -18,6 +18,8 @@
 
 # Far more than a back end of the most slots can have running and waiting.
 _MOST_REQUESTS = 100 * MOST_SLOTS
+# Above the throughput of any back end; a higher limit is treated as no limit.
+_MOST_RATE = 1_000_000.0
 _DECIMAL = re.compile(rb"\d{1,20}(\.\d{0,20})?|\.\d{1,20}")
 
 
@@ -69,4 +71,7 @@
     parts = [part.strip() for value in values for part in value.split(b",")]
     unreadable = tuple(part for part in parts if _DECIMAL.fullmatch(part) is None)
     rates = [float(part) for part in parts if _DECIMAL.fullmatch(part) is not None]
-    return ParsedRateLimit(min(rates, default=None), unreadable)
+    lowest = min(rates, default=None)
+    if lowest is not None and lowest > _MOST_RATE:
+        return ParsedRateLimit()
+    return ParsedRateLimit(lowest, unreadable)
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/fleet_size.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/fleet_size.py
@@ -18,9 +18,11 @@
 
     Args:
         regions: the regions of the settings.
+        all_start: whether all daemons start together, in which case the store may not list all yet.
     """
 
-    def __init__(self, clock: Clock, regions: Iterable[str]) -> None:
+    def __init__(self, clock: Clock, regions: Iterable[str], all_start: bool) -> None:
+        self._all_start = all_start
         self.daemons = DaemonCount(clock)
         self.by_region = DaemonsByRegion(clock, regions)
         self._registered: tuple[RegisteredDaemon, ...] = ()
@@ -39,5 +41,7 @@
         while True:
             live = table.live()
             self.daemons.observe(max(len(live), len(self._registered)))
+            if not self._all_start and len(live) >= max(2, len(self._registered)):
+                self.daemons.note_all_found()
             self.by_region.observe(each.region for each in live)
             await asyncio.sleep(_COUNT_SECONDS)
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/routed_request.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/routed_request.py
@@ -21,6 +21,7 @@
         deadline: monotonic time by which the caller must have its final answer.
         attempts: how many back ends may have received it.
         sends: how many back ends were chosen, reached or not.
+        claims_refused: how often no token of a back end's rate limit was available.
         lines: its decisions so far, to be logged once it has ended.
         was_rejected_needlessly: whether the last back end rejected it with a slot free.
         identity: the same for each try of the same request; empty where nothing is known of it.
@@ -41,6 +42,7 @@
     lines: list[LogMessage]
     attempts: int = 0
     sends: int = 0
+    claims_refused: int = 0
     may_have_run: bool = False
     was_rejected_needlessly: bool = False
     identity: str = ""
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/tenant_admission.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/tenant_admission.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 
 from kitekeel_daemon.decision_log import DecisionLog
 from kitekeel_daemon.gateway_metrics import GatewayMetrics
@@ -16,6 +16,7 @@
 from kitekeel_steering.fleet_view import FleetView
 from kitekeel_steering.log_messages import QuotaKeeperFound, QuotaKeeperLost
 from kitekeel_steering.routing import RouteTable
+from kitekeel_steering.shared_limits import DaemonCount
 from kitekeel_steering.tenant_quota import Claim, QuotaMargin, QuotaShares, quota_shares
 from kitekeel_steering.tenant_reports import TenantsReply
 from kitekeel_steering.tenants import Tenant
@@ -31,7 +32,7 @@
         daemon: its name.
         view: tells the configuration in force.
         margin: how far limits may be exceeded.
-        daemons: returns how many daemons share the limits.
+        daemons: how many daemons share the limits.
     """
 
     def __init__(
@@ -39,7 +40,7 @@
         daemon: str,
         view: FleetView,
         margin: QuotaMargin,
-        daemons: Callable[[], int],
+        daemons: DaemonCount,
         clock: Clock,
         metrics: GatewayMetrics,
         log: DecisionLog,
@@ -66,12 +67,13 @@
             QuotaKeepers(table.own, table.live, self._clock),
             self._shares_of,
             self._may_have_limits,
-            self._daemons,
+            self._daemons.value,
             client,
             self._clock,
             generator,
             self._metrics,
             self._on_keeper,
+            seen_daemons=self._daemons.seen,
         )
         self._exchange.register(server)
 
@@ -153,12 +155,15 @@
             self._log.state(QuotaKeeperLost(group, reason))
 
 
-def quota_retry_after_seconds(tenant: Tenant) -> float:
-    """Return when a caller of a tenant over its limit should come back.
+def quota_retry_after_seconds(rate: float) -> float:
+    """Return after how many seconds a caller that exceeded a rate limit should retry.
+
+    Args:
+        rate: the limit in requests per second.
 
     Tokens are not kept for those who were refused, so that waiting longer than for the next ones
     gives no better chance, and an answer that comes later than its caller needs it.
     """
-    refill = 1.0 / max(tenant.rate, 1.0 / _MOST_RETRY_AFTER_SECONDS)
+    refill = 1.0 / max(rate, 1.0 / _MOST_RETRY_AFTER_SECONDS)
     least = max(_LEAST_RETRY_AFTER_SECONDS, refill)
     return random.uniform(least, 2 * least)
--- a/packages/kitekeel-peers/src/kitekeel_peers/quota_exchange.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/quota_exchange.py
@@ -1,4 +1,4 @@
-"""Hands tokens for tenants' requests from the keepers of each region to the daemons.
+"""Hands tokens for requests from the keepers of each region to the daemons.
 
 See :mod:`kitekeel_steering.tenant_quota` for why the limits hold whoever the keepers are. A request
 takes a token of the daemon's stock; where there is none its daemon asks the keeper of its region,
@@ -10,7 +10,7 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from concurrent.futures import ThreadPoolExecutor
 from functools import partial
 
@@ -90,6 +90,11 @@
         daemons: returns how many daemons share the limits.
         metrics: counts where tokens came from.
         on_keeper: called where a group's keeper is lost (with the reason) or found again.
+        method: RPC method name; each kind of limit has its own.
+        groups: number of groups that limits are divided into, each with its own keepers.
+        limits_with_home: returns the shares of the limits that have a home region, by limit name.
+        seen_daemons: returns how many daemons were observed; ``daemons`` may return more shortly
+            after a start. Defaults to ``daemons``.
     """
 
     def __init__(
@@ -103,7 +108,13 @@
         generator: random.Random,
         metrics: Metrics,
         on_keeper: Callable[[int, bool, str], None],
+        method: str = QUOTA,
+        groups: int = GROUPS,
+        limits_with_home: Callable[[], Mapping[str, QuotaShares]] = dict,
+        seen_daemons: Callable[[], int] | None = None,
     ) -> None:
+        self._seen_daemons = seen_daemons or daemons
+        self._method = method
         self._keepers = keepers
         self._shares_of = shares_of
         self._has_limits = has_limits
@@ -113,30 +124,46 @@
         self._random = generator
         self._metrics = metrics
         self._on_keeper = on_keeper
-        self._threads = ThreadPoolExecutor(_CALL_THREADS, thread_name_prefix="quota")
-        self._groups = [_Group(clock.monotonic()) for _ in range(GROUPS)]
+        self._threads = ThreadPoolExecutor(_CALL_THREADS, thread_name_prefix=method.lower())
+        self._groups = [_Group(clock.monotonic()) for _ in range(groups)]
         self._stocks: dict[str, QuotaStock] = {}
         self._asked_at: dict[str, float] = {}
         self._refused_until: dict[str, float] = {}
         self._pools = QuotaPools(
-            GROUPS,
+            groups,
             keepers,
             shares_of,
-            daemons,
+            self._seen_daemons,
             self._call,
             self._threads,
             clock,
             generator,
             metrics,
+            limits_with_home,
         )
 
+    def _group_of(self, tenant: str) -> int:
+        return group_of(tenant, len(self._groups))
+
+    def paused_until(self, tenant: str) -> float:
+        """Return the monotonic time until which claims are refused without asking the keeper."""
+        return self._refused_until.get(tenant, 0.0)
+
+    def forget(self, tenant: str) -> None:
+        """Discard the state of a limit that no longer applies."""
+        for kept in (self._stocks, self._asked_at, self._refused_until):
+            kept.pop(tenant, None)
+        for group in self._groups:
+            group.earnings.pop(tenant, None)
+        self._pools.forget(tenant)
+
     def register(self, server: PeerServer) -> None:
         """Serve the method."""
-        server.register(QUOTA, QuotaRequest, self._pools.serve)
+        server.register(self._method, QuotaRequest, self._pools.serve)
 
     def loops(self) -> list[Coroutine[None, None, None]]:
         """Return the loops to run until the daemon stops."""
-        return [self._lend_regularly(group) for group in range(GROUPS)]
+        return [self._lend_regularly(group) for group in range(len(self._groups))]
 
     def close(self) -> None:
         """Make no further calls."""
@@ -148,7 +175,7 @@
         self._asked_at[tenant] = now
         if self._stock(tenant).take(shares, self._daemons()):
             return Claim.FROM_STOCK
-        group = self._groups[group_of(tenant)]
+        group = self._groups[self._group_of(tenant)]
         if group.is_alone:
             is_taken = self._take_own(group, tenant, shares, now)
             return Claim.EARNED_ALONE if is_taken else Claim.NONE_EARNED_ALONE
@@ -157,7 +184,7 @@
         waiting = group.waiting.setdefault(tenant, _Waiting(shares))
         future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
         waiting.futures.append(future)
-        self._start_exchange(group_of(tenant))
+        self._start_exchange(self._group_of(tenant))
         try:
             is_taken = await future
         except asyncio.CancelledError:
@@ -177,7 +204,7 @@
         return any(each.is_alone for each in self._groups)
 
     def _return(self, tenant: str, shares: QuotaShares, tokens: int) -> None:
-        returned = self._groups[group_of(tenant)].returned
+        returned = self._groups[self._group_of(tenant)].returned
         before = returned.get(tenant)
         total = tokens - (before.tokens if before is not None else 0)
         returned[tenant] = QuotaWant(tenant, -total, shares)
@@ -258,7 +285,7 @@
             if now - asked_at > _DEMAND_SECONDS:
                 del self._asked_at[tenant]
                 continue
-            if group_of(tenant) != number:
+            if self._group_of(tenant) != number:
                 continue
             found = shares.get(tenant) or self._shares_of(tenant)
             if found is None:
@@ -292,11 +319,18 @@
         """
         now = self._clock.monotonic()
         seconds = 0.0 if group.is_alone else group.lent.take(now)
+        # Shortly after a start, the assumed count exceeds the observed one. It reduces only this
+        # daemon's loan: a keeper would apply it to all its lenders.
+        seen_share = self._seen_daemons() / max(1, self._daemons())
         reason = ""
         for _ in range(_KEEPERS_TRIED):
             address = self._keepers.of_own_region(number)
             request = QuotaRequest(
-                number, self._keepers.own_address(), seconds, self._daemons(), wants
+                number,
+                self._keepers.own_address(),
+                seconds * min(1.0, seen_share),
+                self._seen_daemons(),
+                wants,
             )
             try:
                 reply = await self._ask(address, request)
@@ -339,9 +373,9 @@
         try:
             return await loop.run_in_executor(self._threads, serve, request)
         except RuntimeError as error:
-            raise PeerError(f"{QUOTA} at {address}: this daemon is ending") from error
+            raise PeerError(f"{self._method} at {address}: this daemon is ending") from error
 
     def _call(
         self, address: str, request: QuotaRequest, timeout_seconds: float = _TIMEOUT_SECONDS
     ) -> QuotaReply:
-        return self._client.call(address, QUOTA, request, QuotaReply, timeout_seconds)
+        return self._client.call(address, self._method, request, QuotaReply, timeout_seconds)
--- a/packages/kitekeel-peers/src/kitekeel_peers/quota_keepers.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/quota_keepers.py
@@ -22,9 +22,9 @@
 _SILENT_SECONDS = 5.0
 
 
-def group_of(tenant: str) -> int:
+def group_of(tenant: str, groups: int = GROUPS) -> int:
     """Return the group that a tenant's tokens belong to."""
-    return int(xxhash.xxh64_intdigest(tenant.encode())) % GROUPS
+    return int(xxhash.xxh64_intdigest(tenant.encode())) % groups
 
 
 class QuotaKeepers:
@@ -33,6 +33,7 @@
     Args:
         own: returns this daemon's record.
         members: returns the live members, this daemon included.
+        key_prefix: prefix of the hash key, so that each kind of limit has its own keepers.
     """
 
     def __init__(
@@ -40,7 +41,9 @@
         own: Callable[[], MemberRecord],
         members: Callable[[], list[MemberRecord]],
         clock: Clock,
+        key_prefix: str = "quota",
     ) -> None:
+        self._key_prefix = key_prefix
         self._own = own
         self._members = members
         self._clock = clock
@@ -55,6 +58,14 @@
         found = self._choose(group, self._own().region)
         return found if found is not None else self.own_address()
 
+    def own_region(self) -> str:
+        """Return this daemon's region."""
+        return self._own().region
+
+    def of_region(self, group: int, region: str) -> str | None:
+        """Return the peer address of a region's keeper, or ``None`` if the region has no daemon."""
+        return self._choose(group, region)
+
     def of_other_regions(self, group: int) -> list[str]:
         """Return the peer addresses of the keepers of all other regions."""
         own_region = self._own().region
@@ -76,5 +87,5 @@
             and each.phase is not MemberPhase.LEAVING
             and self._silent_until.get(each.peer_address, 0.0) <= now
         }
-        ranked = rank_nodes(f"quota/{group}", candidates)
+        ranked = rank_nodes(f"{self._key_prefix}/{group}", candidates)
         return candidates[ranked[0]] if ranked else None
--- a/packages/kitekeel-peers/src/kitekeel_peers/quota_messages.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/quota_messages.py
@@ -1,14 +1,19 @@
-"""Messages between daemons about the tokens that tenants' requests take."""
+"""Messages between daemons that transfer request tokens."""
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 from kitekeel_steering.tenant_quota import QuotaShares
 
+_Tokens = Annotated[float, msgspec.Meta(ge=-1e15, le=1e15)]
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+
 
 class QuotaWant(msgspec.Struct, frozen=True, array_like=True):
-    """Tokens of one tenant that a daemon asks for, or gives back where they are negative.
+    """Tokens of one limit that a daemon asks for, or gives back where they are negative.
 
     Attributes:
         shares: the tenant's, by the sender's configuration; used where the keeper's own does not
@@ -16,7 +21,7 @@
     """
 
     tenant: str
-    tokens: int
+    tokens: _Tokens
     shares: QuotaShares
 
 
@@ -27,7 +32,9 @@
         sender: peer address of the daemon.
         seconds: time since its last loan; 0 from another keeper, which lends nothing.
         daemons: how many daemons share the limits by the sender's count.
-        is_keeper: whether the tokens are for the pool of another region.
+        is_keeper: whether the tokens go to or come from the pool of another region.
+        lenders: how many daemons lend to the keeper that forwards these tokens; 0 if none are
+            forwarded.
     """
 
     group: int
@@ -36,6 +43,7 @@
     daemons: int
     wants: tuple[QuotaWant, ...]
     is_keeper: bool = False
+    lenders: _Count = 0
 
 
 class QuotaGrant(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/kitekeel-peers/src/kitekeel_peers/quota_pools.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/quota_pools.py
@@ -9,7 +9,8 @@
 import math
 import random
 import threading
-from collections.abc import Callable, Iterable
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Mapping
 from concurrent.futures import Executor, Future, wait
 
 from kitekeel_peers.quota_keepers import QuotaKeepers
@@ -29,6 +30,10 @@
 _LONGEST_PULL_INTERVAL_SECONDS = 1.0
 # Opening a connection to a distant region takes several round trips of up to 0.12 s.
 _PULL_TIMEOUT_SECONDS = 1.0
+# Interval at which tokens are forwarded to their home region.
+_FORWARD_INTERVAL_SECONDS = 0.2
+# Pause after a failed forward; until then the tokens stay available to the own region's callers.
+_FORWARD_PAUSE_SECONDS = 2.0
 # Where there is no token at all, requests wait so long for a region that answers at once.
 _WAIT_SECONDS = 0.18
 
@@ -49,6 +54,7 @@
         call: asks another daemon, waiting for so many seconds at most.
         executor: runs what no request waits for.
         generator: chooses among the regions.
+        limits_with_home: returns the shares of the limits that have a home region, by limit name.
     """
 
     def __init__(
@@ -62,7 +68,10 @@
         clock: Clock,
         generator: random.Random,
         metrics: Metrics,
+        limits_with_home: Callable[[], Mapping[str, QuotaShares]],
     ) -> None:
+        self._limits_with_home = limits_with_home
+        self._forward_after: dict[str, float] = {}
         self._pools = [QuotaPool() for _ in range(groups)]
         self._keepers = keepers
         self._shares_of = shares_of
@@ -80,19 +89,23 @@
     def serve(self, request: QuotaRequest) -> QuotaReply:
         """Take the seconds that a daemon lends, and return what there is of the tokens it wants.
 
-        Where there is none of a tenant, other regions are asked before the answer is given.
+        Where there is none of a tenant, other regions are asked before the answer is given. Tokens
+        with a home region are not waited for, as another back end can serve the request.
         """
         if not 0 <= request.group < len(self._pools):
             return QuotaReply(())
         granted = self._take(request, request.wants)
         if request.is_keeper:
             return _reply(granted)
+        self._forward(request.group)
         lacking = self._lacking(request)
         if not lacking:
             return _reply(granted)
         pulls = self._pull(request.group, lacking)
         unserved = [
-            each for each in request.wants if each.tokens > 0 and each.tenant not in granted
+            each
+            for each in request.wants
+            if each.tokens > 0 and each.tenant not in granted and not each.shares.home
         ]
         if any(each.tenant == want.tenant for each in unserved for want in lacking):
             wait(pulls, _WAIT_SECONDS)
@@ -110,6 +123,8 @@
         with self._lock:
             if lends and not request.is_keeper:
                 pool.lend(request.sender, request.seconds, daemons, now)
+            if request.lenders:
+                pool.note_forwarder(request.sender, request.lenders, now)
             for want in wants:
                 tokens = self._take_one(pool, want, request.is_keeper, now, daemons)
                 if tokens:
@@ -123,7 +138,7 @@
         if want.tokens <= 0:
             pool.add(want.tenant, shares, -want.tokens, now, daemons)
             return 0
-        if is_keeper:
+        if is_keeper and not shares.home:
             return pool.take_part(want.tenant, shares, want.tokens, now, daemons)
         return pool.take(want.tenant, shares, want.tokens, now, daemons)
 
@@ -141,10 +156,14 @@
     ) -> QuotaWant | None:
         if want.tokens <= 0:
             return None
+        shares = self._shares_of(want.tenant) or want.shares
+        if shares.home == self._keepers.own_region():
+            return None
         demand = self._demands.setdefault(want.tenant, DemandRate(now))
         demand.note(want.tokens, now)
-        shares = self._shares_of(want.tenant) or want.shares
-        kept = max(float(want.tokens), demand.per_second(now) * _KEPT_SECONDS)
+        kept = float(want.tokens)
+        if not shares.home:
+            kept = max(kept, demand.per_second(now) * _KEPT_SECONDS)
         lacking = kept - pool.level(want.tenant, shares, now, daemons)
         interval = self._pull_intervals.get(want.tenant, 0.0)
         if lacking <= 0 or now - self._pulled_at.get(want.tenant, -math.inf) < interval:
@@ -153,16 +172,76 @@
         return QuotaWant(want.tenant, math.ceil(lacking), shares)
 
     def _pull(self, group: int, wants: tuple[QuotaWant, ...]) -> list[Future[None]]:
-        """Begin to ask others for what is lacking: some regions, and a keeper of the own one.
+        """Start requesting the missing tokens from other keepers.
 
-        There is one where daemons took this one for it, since they got no answer from it.
+        Tokens with a home region are requested from its keeper. Others are requested from some
+        other regions and from the own region's keeper if that is another daemon.
         """
+        homes: dict[str, list[QuotaWant]] = defaultdict(list)
+        for each in wants:
+            homes[each.shares.home].append(each)
+        return [
+            self._executor.submit(self._pull_from, address, group, tuple(lacking))
+            for home, lacking in homes.items()
+            for address in self._addresses_to_ask(group, home)
+        ]
+
+    def _addresses_to_ask(self, group: int, home: str) -> list[str]:
+        if home:
+            keeper = self._keepers.of_region(group, home)
+            return [keeper] if keeper is not None else []
         addresses = self._keepers.of_other_regions(group)
         asked = self._random.sample(addresses, min(_REGIONS_ASKED, len(addresses)))
         nearest = self._keepers.of_own_region(group)
         if nearest != self._keepers.own_address():
             asked.append(nearest)
-        return [self._executor.submit(self._pull_from, each, group, wants) for each in asked]
+        return asked
+
+    def _forward(self, group: int) -> None:
+        """Start forwarding tokens to the keepers of their home regions, if due."""
+        now = self._clock.monotonic()
+        own_region = self._keepers.own_region()
+        with self._lock:
+            by_home: dict[str, dict[str, QuotaShares]] = defaultdict(dict)
+            for name, shares in self._limits_with_home().items():
+                if shares.home not in ("", own_region):
+                    by_home[shares.home][name] = shares
+            for home, limits in by_home.items():
+                keeper = self._keepers.of_region(group, home)
+                if keeper is None or now < self._forward_after.get(home, 0.0):
+                    continue
+                self._forward_after[home] = now + _FORWARD_INTERVAL_SECONDS
+                request = self._forward_request(group, limits, now)
+                self._executor.submit(self._forward_to, keeper, home, request)
+
+    def _forward_request(
+        self, group: int, limits: Mapping[str, QuotaShares], now: float
+    ) -> QuotaRequest:
+        pool = self._pools[group]
+        daemons = self._daemons()
+        wants = tuple(
+            QuotaWant(name, -pool.drain(name, shares, now, daemons), shares)
+            for name, shares in limits.items()
+        )
+        own = self._keepers.own_address()
+        return QuotaRequest(group, own, 0.0, daemons, wants, True, pool.lender_count(now))
+
+    def _forward_to(self, address: str, home: str, request: QuotaRequest) -> None:
+        try:
+            self._call(address, request, _PULL_TIMEOUT_SECONDS)
+        except PeerError:
+            # The tokens may have arrived, so restoring them could exceed the limit. The peer client
+            # counts the failure.
+            self._keepers.note_failure(address)
+            self._forward_after[home] = self._clock.monotonic() + _FORWARD_PAUSE_SECONDS
+
+    def forget(self, tenant: str) -> None:
+        """Discard the state of a limit that no longer applies."""
+        with self._lock:
+            for pool in self._pools:
+                pool.forget(tenant)
+            for kept in (self._demands, self._pulled_at, self._pull_intervals):
+                kept.pop(tenant, None)
 
     def _pull_from(self, address: str, group: int, wants: tuple[QuotaWant, ...]) -> None:
         own = self._keepers.own_address()
--- a/packages/kitekeel-steering/src/kitekeel_steering/back_end_limits.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/back_end_limits.py
@@ -40,6 +40,10 @@
         """Return the process name that identifies this record."""
         return process_name(self.instance, self.started_at_ms)
 
+    def has_same_limit_as(self, other: LimitRecord) -> bool:
+        """Return whether both records have the same limit for the same process."""
+        return self.identity == other.identity and self.rate == other.rate
+
 
 def process_name(instance: str, started_at_ms: int) -> str:
     """Return a name that is unique to one process of a back end."""
@@ -66,6 +70,18 @@
         self._on_change = on_change
         self._records: dict[str, LimitRecord] = {}
 
+    def needs_comparison(self) -> bool:
+        """Return whether the records must be compared with other daemons' regularly."""
+        return bool(self._records)
+
+    def has_urgent_records(self) -> bool:
+        """Return whether any back end has a rate limit."""
+        return any(each.rate is not None for each in self._records.values())
+
+    def current_record(self, instance: str) -> LimitRecord | None:
+        """Return the record of a back end's current process, or ``None`` if there is none."""
+        return self._records.get(instance)
+
     def rate(self, instance: str) -> float | None:
         """Return a back end's limit in requests per second, or ``None`` if it has none."""
         record = self._records.get(instance)
@@ -90,7 +106,12 @@
             if self._clock.observe(each.stamp) < each.stamp:
                 # Implausible stamp: no later record from another daemon could replace this one.
                 continue
-            if self._is_current(each.instance, each.started_at_ms):
+            if not self._is_current(each.instance, each.started_at_ms):
+                continue
+            if known is not None and known.has_same_limit_as(each):
+                # Several daemons may learn the same limit; avoids announcing it once for each.
+                self._records[each.instance] = each
+            else:
                 self._keep(each, source)
 
     def forget(self, instance: str) -> None:
@@ -110,7 +131,8 @@
         """Return an order-independent hash of all records, for comparing daemons; 0 if empty."""
         value = 0
         for each in self._records.values():
-            value ^= xxhash.xxh64_intdigest(msgspec.msgpack.encode(each))
+            # Excludes the stamp, which differs when several daemons learn the same limit.
+            value ^= xxhash.xxh64_intdigest(msgspec.msgpack.encode((each.identity, each.rate)))
         return value
 
     def _keep(self, record: LimitRecord, source: str) -> None:
--- a/packages/kitekeel-steering/src/kitekeel_steering/crash_ledger.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/crash_ledger.py
@@ -144,6 +144,14 @@
         """Tell whether there is a request that was not found harmless since its last end."""
         return any(each.ends for each in self._records.values())
 
+    def needs_comparison(self) -> bool:
+        """Return whether the records must be compared with other daemons' regularly."""
+        return self.has_suspects()
+
+    def has_urgent_records(self) -> bool:
+        """Return whether any request is quarantined; most suspects are unrelated to the crash."""
+        return bool(self.quarantined())
+
     def is_quarantined(self, identity: str) -> bool:
         """Tell whether the request is not to be sent to back ends."""
         return identity in self._quarantined
--- a/packages/kitekeel-steering/src/kitekeel_steering/tenant_quota.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/tenant_quota.py
@@ -1,4 +1,6 @@
-"""Limits on tenants' requests over all daemons together, kept as a fixed amount of tokens.
+"""Limits on requests over all daemons together, kept as a fixed amount of tokens.
+
+A limit applies to the requests of a tenant, or to the requests sent to a back end.
 
 Each admitted request takes one token. Tokens come into being in one way only: every daemon earns
 its equal part of a tenant's rate for each second that passes. A daemon lends those seconds to a
@@ -14,6 +16,7 @@
 
 import enum
 import math
+from typing import Annotated
 
 import msgspec
 
@@ -26,12 +29,18 @@
 _STOCKED_MARGIN = 0.2
 _POOLED_MARGIN = 0.6
 _LEAST_POOLED_MARGIN = 0.1
+# Smaller parts than for tenants: a request may hold its token for up to a second while it waits for
+# a connection to the back end.
+_STOCKED_BACK_END_MARGIN = 0.1
+_POOLED_BACK_END_MARGIN = 0.4
 # A daemon that was silent for longer lends no more than this: seconds that all daemons kept while
 # they were paused together would else come on top of those of the next window.
 _LONGEST_LOAN_SECONDS = LENDING_SECONDS
 # A lender that was not heard of for this long counts no longer toward a pool's share.
 _LENDER_MEMORY_SECONDS = 5.0
 _MOVED_LIFE_SECONDS = 2.0
+# Tokens outside their home region count against the margin, so they expire sooner.
+_MOVED_FROM_HOME_LIFE_SECONDS = 0.5
 # A pool for this part of all daemons or more, as of one of 16 regions, may hold a whole token
 # whatever the tenant's shares: its callers would else never be admitted there.
 _LEAST_WHOLE_SHARE = 1.0 / 16.0
@@ -51,17 +60,26 @@
     slack: float = 20.0
 
 
+_Amount = Annotated[float, msgspec.Meta(ge=0.0, le=1e15)]
+
+BACK_END_LIMIT_MARGIN = QuotaMargin(window_seconds=4.0, ratio=0.5, slack=5.0)
+
+
 class QuotaShares(msgspec.Struct, frozen=True):
-    """How many tokens of a tenant may lie unused, all daemons together.
+    """How many tokens of one limit may lie unused, all daemons together.
 
     Attributes:
+        rate: tokens per second.
         pooled: in the keepers' pools.
         stocked: in the daemons' stocks.
+        home: the region whose keeper pools the tokens of all regions; empty if each region pools
+            its own.
     """
 
-    rate: float
-    pooled: float
-    stocked: float
+    rate: _Amount
+    pooled: _Amount
+    stocked: _Amount
+    home: str = ""
 
 
 def quota_shares(tenant: Tenant, margin: QuotaMargin) -> QuotaShares | None:
@@ -74,6 +92,20 @@
     return QuotaShares(tenant.rate, pooled, _STOCKED_MARGIN * extra)
 
 
+def back_end_shares(rate: float, margin: QuotaMargin, home: str) -> QuotaShares:
+    """Return the shares of a back end's rate limit.
+
+    Args:
+        rate: requests per second.
+        margin: how far requests within a window may exceed it.
+        home: the back end's region.
+    """
+    extra = margin.ratio * rate * margin.window_seconds + margin.slack
+    unlent = rate * _LONGEST_LOAN_SECONDS
+    pooled = max(_LEAST_POOLED_MARGIN * extra, _POOLED_BACK_END_MARGIN * extra - unlent)
+    return QuotaShares(rate, pooled, _STOCKED_BACK_END_MARGIN * extra, home)
+
+
 class Claim(enum.Enum):
     """What became of a request's claim for a token, and who decided it."""
 
@@ -134,6 +166,18 @@
     moved_at: float = 0.0
 
 
+class _Forwarder(msgspec.Struct, frozen=True):
+    """A keeper of another region that forwards its tokens.
+
+    Attributes:
+        lenders: how many daemons lend to it.
+        heard_at: monotonic time of its last message, in seconds.
+    """
+
+    lenders: int
+    heard_at: float
+
+
 class QuotaPool:
     """The tokens of one keeper.
 
@@ -145,6 +189,7 @@
         self._lent = 0.0
         self._levels: dict[str, _Level] = {}
         self._lenders: dict[str, float] = {}
+        self._forwarders: dict[str, _Forwarder] = {}
 
     def lend(self, lender: str, seconds: float, daemons: int, now: float) -> None:
         """Take the seconds that a daemon lends.
@@ -205,6 +250,24 @@
         level.moved = min(level.moved + tokens, shares.pooled)
         level.moved_at = now
 
+    def drain(self, tenant: str, shares: QuotaShares, now: float, daemons: int) -> float:
+        """Remove and return all tokens earned here, to forward them to their home region."""
+        level = self._level(tenant, shares, now, daemons)
+        drained, level.tokens = level.tokens, 0.0
+        return drained
+
+    def lender_count(self, now: float) -> int:
+        """Return how many daemons currently lend to this pool."""
+        return sum(now - last < _LENDER_MEMORY_SECONDS for last in self._lenders.values())
+
+    def note_forwarder(self, sender: str, lenders: int, now: float) -> None:
+        """Record that a keeper of another region forwards the tokens of its lenders."""
+        self._forwarders[sender] = _Forwarder(lenders, now)
+
+    def forget(self, tenant: str) -> None:
+        """Discard the state of a limit that no longer applies."""
+        self._levels.pop(tenant, None)
+
     def level(self, tenant: str, shares: QuotaShares, now: float, daemons: int) -> float:
         """Return how many tokens there are."""
         level = self._level(tenant, shares, now, daemons)
@@ -218,13 +281,20 @@
         level.tokens += (self._lent - level.earned_at) * shares.rate
         level.tokens = min(level.tokens, self._most(shares, now, daemons))
         level.earned_at = self._lent
-        if now - level.moved_at > _MOVED_LIFE_SECONDS:
+        life = _MOVED_FROM_HOME_LIFE_SECONDS if shares.home else _MOVED_LIFE_SECONDS
+        if now - level.moved_at > life:
             level.moved = 0.0
         return level
 
     def _most(self, shares: QuotaShares, now: float, daemons: int) -> float:
         """Return the most tokens that may lie here: the part of those daemons that lend here."""
-        lenders = sum(now - last < _LENDER_MEMORY_SECONDS for last in self._lenders.values())
+        lenders = self.lender_count(now)
+        if shares.home:
+            lenders += sum(
+                each.lenders
+                for each in self._forwarders.values()
+                if now - each.heard_at < _LENDER_MEMORY_SECONDS
+            )
         share = min(1.0, lenders / max(1, daemons))
         least = 1.0 if share >= _LEAST_WHOLE_SHARE else 0.0
         return max(least, shares.pooled * share)
--- a/tests/message_strategies.py
+++ b/tests/message_strategies.py
@@ -25,6 +25,8 @@
     if isinstance(wanted, type) and issubclass(wanted, msgspec.Struct):
         return _structs(wanted)
     origin, arguments = typing.get_origin(wanted), typing.get_args(wanted)
+    if isinstance(origin, type) and issubclass(origin, msgspec.Struct):
+        return _generic_structs(origin, arguments)
     if origin in (typing.Union, types.UnionType):
         return st.one_of([values_of(each) for each in arguments])
     if origin is tuple and arguments[-1] is not Ellipsis:
@@ -41,6 +43,17 @@
     return st.builds(wanted, **{name: values_of(hints[name]) for name in wanted.__struct_fields__})
 
 
+def _generic_structs(
+    wanted: type[msgspec.Struct], arguments: tuple[Any, ...]
+) -> st.SearchStrategy[Any]:
+    hints = typing.get_type_hints(wanted)
+    filled = {
+        name: hints[name][arguments] if getattr(hints[name], "__parameters__", ()) else hints[name]
+        for name in wanted.__struct_fields__
+    }
+    return st.builds(wanted, **{name: values_of(each) for name, each in filled.items()})
+
+
 def _plain(wanted: Any) -> st.SearchStrategy[Any]:
     if wanted is bool:
         return st.booleans()
--- a/tests/test_peer_fuzz.py
+++ b/tests/test_peer_fuzz.py
@@ -17,11 +17,15 @@
 from loopback import free_address
 from message_strategies import values_of
 
+from kitekeel_daemon.back_end_limiter import BACK_END_QUOTA
 from kitekeel_peers.crash_exchange import CRASHES, CrashNews
+from kitekeel_peers.limit_exchange import LIMITS, LimitNews
 from kitekeel_peers.membership import JOIN, PROBE
 from kitekeel_peers.messages import JoinRequest, ProbeRequest
 from kitekeel_peers.news_feed import NEWS, NewsPush
 from kitekeel_peers.object_exchange import OBJECTS, ObjectsRequest
+from kitekeel_peers.quota_exchange import QUOTA
+from kitekeel_peers.quota_messages import QuotaRequest
 from kitekeel_peers.rpc import PeerClient, PeerServer
 from kitekeel_peers.view_exchange import VIEW, ViewReply, ViewRequest
 from kitekeel_steering.errors import PeerError
@@ -35,6 +39,9 @@
     OBJECTS: ObjectsRequest,
     VIEW: ViewRequest,
     CRASHES: CrashNews,
+    LIMITS: LimitNews,
+    QUOTA: QuotaRequest,
+    BACK_END_QUOTA: QuotaRequest,
 }
 SECRET = (("kitekeel-secret", "a-secret-for-the-tests"),)
 TIMEOUT_SECONDS = 5.0
