Do not hold requests for a silent keeper of a back end's tokens

Cause: a claim for a token of a back end's limit waited for the keeper as long as a tenant's claim does, 0.3 s for each of two silent keepers, although another back end could serve the request.

Change: a claim that is not answered within 0.1 s counts as refused. The back end is skipped for 0.2 s and the next one serves the request. The counter `back-ends.limit-claims-late` counts these claims.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/back_end_limiter.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/back_end_limiter.py
@@ -39,6 +39,11 @@
 _LEAST_RATE = 0.25
 # Retry interval while no keeper can be reached and the daemon uses only tokens it earned itself.
 _ALONE_RETRY_SECONDS = 0.1
+# Exceeds the few milliseconds that a keeper in the same region takes to answer, but stays short
+# because another back end may be able to serve the request.
+_CLAIM_TIMEOUT_SECONDS = 0.1
+# How long a back end is skipped after a claim for it timed out.
+_CLAIM_TIMEOUT_PAUSE_SECONDS = 0.2
 
 
 class LimitToken(msgspec.Struct, frozen=True):
@@ -149,7 +154,13 @@
         if limit_record is None or limit_record.rate is None or self._quota is None:
             return _UNLIMITED
         name = limit_record.identity
-        claim = await self._quota.claim(name, self._shares[name])
+        try:
+            async with asyncio.timeout(_CLAIM_TIMEOUT_SECONDS):
+                claim = await self._quota.claim(name, self._shares[name])
+        except TimeoutError:
+            self._metrics.increment("back-ends.limit-claims-late")
+            candidate.load.note_at_limit(self._clock.monotonic() + _CLAIM_TIMEOUT_PAUSE_SECONDS)
+            return LimitToken(False, name)
         self._metrics.increment(f"back-ends.limit-{claim.value}")
         if not claim.is_admitted:
             candidate.load.note_at_limit(self._next_claim_at(name, claim))
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -10,6 +10,8 @@
 from gateway_stand_ins import RunningGateway, ask, fleet, play, until
 from memory_store import MemoryStore
 
+from kitekeel_steering.errors import PeerError
+
 GATEWAYS = 3
 
 
@@ -163,3 +165,29 @@
         assert back_end.ran == ["first"]
 
     play(scenario)
+
+
+def test_requests_do_not_wait_for_a_silent_keeper(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against delaying requests that another back end can serve without a token."""
+
+    async def scenario() -> None:
+        store, back_ends = await fleet(2)
+        running = await gateways(store)
+        back_ends[0].rate_limit = "5"
+        for number in range(20):
+            await ask(running[0].callers, "/safe/x", f"warm-{number}", key=str(number))
+        assert await until(lambda: limits(running, "b0") == {5.0}, 2.0)
+
+        def fail_without_answer(*_arguments: object) -> None:
+            time.sleep(0.3)
+            raise PeerError("no answer")
+
+        for each in running:
+            monkeypatch.setattr(each.gateway._peer_client, "call", fail_without_answer)
+        for number in range(20):
+            begin = time.monotonic()
+            gateway = running[number % GATEWAYS]
+            status, _, _ = await ask(gateway.callers, "/safe/x", f"r{number}", key=str(number))
+            assert (status, time.monotonic() - begin < 0.3) == (200, True)
+
+    play(scenario)
