Shorten the settling time only after the store's list was read

Cause: without the list of registered daemons, a daemon that had just started treated two or more known daemons as all of them after 4 s. Daemons killed together while the store is unavailable could then each take a large share of the limits that all daemons share.

Change: the settling time is shortened only once the list was read. Until then, the daemon assumes many others for the full time.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/fleet_size.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/fleet_size.py
@@ -26,10 +26,12 @@
         self.daemons = DaemonCount(clock)
         self.by_region = DaemonsByRegion(clock, regions)
         self._registered: tuple[RegisteredDaemon, ...] = ()
+        self._has_read_registrations = False
 
     def note_registered(self, daemons: tuple[RegisteredDaemon, ...]) -> None:
         """Take the daemons that the store lists."""
         self._registered = daemons
+        self._has_read_registrations = True
         self.daemons.observe(len(daemons))
 
     def registered_addresses(self) -> list[str]:
@@ -41,7 +43,17 @@
         while True:
             live = table.live()
             self.daemons.observe(max(len(live), len(self._registered)))
-            if not self._all_start and len(live) >= max(2, len(self._registered)):
+            if self._are_all_found(len(live)):
                 self.daemons.note_all_found()
             self.by_region.observe(each.region for each in live)
             await asyncio.sleep(_COUNT_SECONDS)
+
+    def _are_all_found(self, live_count: int) -> bool:
+        """Return whether as many daemons are alive as the store lists, at least two.
+
+        Before the list was read this is false: daemons that restart together during a store outage
+        could otherwise each take a large share of the shared limits.
+        """
+        if self._all_start or not self._has_read_registrations:
+            return False
+        return live_count >= max(2, len(self._registered))
