Keep connections open when their responses end during shutdown

Symptom: during a planned stop of kitekeeld, a caller's next request on a keep-alive connection was lost.

Cause: after sending a response, a worker returns the connection to the server's idle connections. Once shutdown has begun, CherryPy's server closes it immediately instead, although the caller was not told and may already have sent a request. A worker delayed by some milliseconds, as on a loaded machine, triggers this.

Change: such connections join the idle ones until all are closed together, which serves those with a pending request. A connection that a worker returns after the idle ones were closed is closed as before. One returned between the closing of the idle connections and of their selector is still neither served nor closed (read, not reproduced).

--- a/packages/kitekeel-callers/src/kitekeel_callers/front.py
+++ b/packages/kitekeel-callers/src/kitekeel_callers/front.py
@@ -7,14 +7,13 @@
 from http import HTTPStatus
 
 import msgspec
-from cheroot import wsgi
 
 from kitekeel_callers.answers import json_answer
 from kitekeel_callers.arrival import ArrivalGateway
 from kitekeel_callers.caller_request import SERVICE_PREFIX, Environment
 from kitekeel_callers.entries import ENTRIES_PATH, EntryLookups
 from kitekeel_callers.intake import Intake, StartResponse
-from kitekeel_callers.kept_connection import KeptConnection
+from kitekeel_callers.kept_connection import KeptConnection, KeptConnectionServer
 from kitekeel_steering.ini import is_address
 
 _SERVER_NAME = "kitekeel"
@@ -65,7 +64,7 @@
         if not is_address(address):
             raise ValueError(f"'{address}' is not IP:port")
         host, _, port = address.rpartition(":")
-        self._server = wsgi.Server(
+        self._server = KeptConnectionServer(
             (host.strip("[]"), int(port)),
             application,
             numthreads=limits.threads,
--- a/packages/kitekeel-callers/src/kitekeel_callers/kept_connection.py
+++ b/packages/kitekeel-callers/src/kitekeel_callers/kept_connection.py
@@ -1,10 +1,12 @@
-"""A caller's connection that is not closed while a request waits on it."""
+"""Keep-alive connections that are not closed while a request is pending on them."""
 
 from __future__ import annotations
 
 import select
 import socket
 
+from cheroot import wsgi
+from cheroot.connections import ConnectionManager
 from cheroot.server import HTTPConnection
 
 
@@ -44,3 +46,21 @@
         except OSError:
             # The caller has reset the connection: there is nothing to serve.
             return False
+
+
+class KeptConnectionServer(wsgi.Server):
+    """CherryPy's server, keeping connections open when their responses end during shutdown.
+
+    The library closes such a connection immediately and drops any request already sent on it.
+    """
+
+    # Set by prepare().
+    _connections: ConnectionManager
+
+    def put_conn(self, conn: HTTPConnection) -> None:
+        """Return a connection to the idle ones, even during shutdown."""
+        try:
+            self._connections.put(conn)
+        except ValueError:
+            # The selector is closed: shutdown has already closed the idle connections.
+            conn.close()
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -23,6 +23,7 @@
 from kitekeel_callers.caller_request import Environment
 from kitekeel_callers.front import HttpServer, ServerLimits
 from kitekeel_callers.intake import StartResponse
+from kitekeel_callers.kept_connection import KeptConnection
 
 _IDLE_SECONDS = 1
 _CALLERS = 24
@@ -131,6 +132,51 @@
     assert results == ["ok"] * len(connections)
 
 
+def test_a_request_on_a_connection_returned_during_shutdown_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against closing a connection that a worker returns after shutdown has begun."""
+    watching_ended = threading.Event()
+    sent = threading.Event()
+    close = ConnectionManager.close
+    communicate = KeptConnection.communicate
+
+    def close_late(manager: ConnectionManager) -> None:
+        watching_ended.set()
+        sent.wait(5.0)
+        close(manager)
+
+    def return_late(connection: KeptConnection) -> bool:
+        is_kept = communicate(connection)
+        watching_ended.wait(5.0)
+        return is_kept
+
+    monkeypatch.setattr(ConnectionManager, "close", close_late)
+    monkeypatch.setattr(KeptConnection, "communicate", return_late)
+    address = free_address()
+    server = HttpServer(address, application, ServerLimits(4))
+    server.start()
+    host, _, port = address.rpartition(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=5.0)
+    connection.request("GET", "/")
+    connection.getresponse().read()
+    stopping = threading.Thread(target=server.stop)
+    stopping.start()
+    assert watching_ended.wait(5.0)
+    # Let the worker return the connection before the request is sent.
+    time.sleep(0.1)
+    try:
+        connection.request("GET", "/")
+        sent.set()
+        result = connection.getresponse().read().decode()
+    except (OSError, http.client.HTTPException):
+        result = "lost"
+    finally:
+        sent.set()
+        stopping.join()
+    assert result == "ok"
+
+
 def test_a_connection_that_is_idle_for_too_long_is_closed() -> None:
     address = free_address()
     server = HttpServer(address, application, ServerLimits(4, idle_timeout_seconds=_IDLE_SECONDS))
