Batch announcements of frequently changing limits

Cause: a daemon announced each change of a back end's limit to its neighbours, up to 20 times per second. A limit that changes, or appears and disappears, with every answer would make every daemon in the fleet call all its neighbours at that rate.

Change: the first change is announced immediately; changes within the next 0.3 s are announced together.

Remove an attribute of QuotaExchange that was never read.

--- a/packages/kitekeel-peers/src/kitekeel_peers/limit_exchange.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/limit_exchange.py
@@ -12,6 +12,8 @@
 from kitekeel_steering.back_end_limits import BackEndLimits, LimitRecord
 
 LIMITS = "Limits"
+# Limits the call rate when a back end advertises a different limit in every answer.
+_JOIN_SECONDS = 0.3
 LimitNews = RecordNews[LimitRecord]
 LimitReply = RecordReply[LimitRecord]
 
@@ -29,5 +31,14 @@
         on_failure: Callable[[str, str], None],
     ) -> None:
         super().__init__(
-            LIMITS, LimitNews, LimitReply, limits, client, table, loop, generator, on_failure
+            LIMITS,
+            LimitNews,
+            LimitReply,
+            limits,
+            client,
+            table,
+            loop,
+            generator,
+            on_failure,
+            _JOIN_SECONDS,
         )
--- a/packages/kitekeel-peers/src/kitekeel_peers/quota_exchange.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/quota_exchange.py
@@ -122,7 +122,6 @@
         self._client = client
         self._clock = clock
         self._random = generator
-        self._metrics = metrics
         self._on_keeper = on_keeper
         self._threads = ThreadPoolExecutor(_CALL_THREADS, thread_name_prefix=method.lower())
         self._groups = [_Group(clock.monotonic()) for _ in range(groups)]
--- a/packages/kitekeel-peers/src/kitekeel_peers/record_exchange.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/record_exchange.py
@@ -106,6 +106,8 @@
         records: accessed only on the event loop.
         loop: the event loop.
         on_failure: called with the address of a daemon that could not be told, and why.
+        join_seconds: minimum time between two rounds of calls about changes; changes in between
+            are batched into the next round.
     """
 
     def __init__(
@@ -119,7 +121,9 @@
         loop: asyncio.AbstractEventLoop,
         generator: random.Random,
         on_failure: Callable[[str, str], None],
+        join_seconds: float = _JOIN_SECONDS,
     ) -> None:
+        self._join_seconds = join_seconds
         self._method = method
         self._news_type = news_type
         self._reply_type = reply_type
@@ -178,7 +182,7 @@
                 call = self._loop.create_task(self._call(each, news))
                 self._calls.add(call)
                 call.add_done_callback(self._calls.discard)
-            await asyncio.sleep(_JOIN_SECONDS)
+            await asyncio.sleep(self._join_seconds)
 
     async def _compare_with_a_neighbour(self) -> None:
         others = self._neighbours()
