Move the gateway's gauges to a module of their own

Move its gauges to gateway_gauges and add one for the number of back ends that have a rate limit (`kitekeel_limited_back_ends`). A single function now decides whether two start times belong to the same process, and a single fixture collects log lines in tests.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/back_end_limiter.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/back_end_limiter.py
@@ -19,7 +19,7 @@
 from kitekeel_steering.back_end_limits import BackEndLimits, LimitRecord
 from kitekeel_steering.clock import Clock
 from kitekeel_steering.events import HybridClock
-from kitekeel_steering.fleet_items import BackEndRecord, ItemKind
+from kitekeel_steering.fleet_items import BackEndRecord, ItemKind, may_be_same_process
 from kitekeel_steering.fleet_view import FleetView, ViewChange
 from kitekeel_steering.log_messages import (
     BackEndLimitChanged,
@@ -139,6 +139,10 @@
             if each is not None:
                 each.close()
 
+    def limited_back_ends(self) -> int:
+        """Return the number of back ends that have a rate limit."""
+        return len(self.limits.in_force())
+
     def is_limited(self, record: BackEndRecord) -> bool:
         """Return whether a back end advertises a rate limit."""
         return self.limits.rate(record.instance) is not None
@@ -210,9 +214,7 @@
 
     def _is_current(self, instance: str, started_at_ms: int) -> bool:
         current = self._view.find_back_end(instance)
-        return current is not None and (
-            current.started_at_ms == started_at_ms or 0 in (current.started_at_ms, started_at_ms)
-        )
+        return current is not None and may_be_same_process(current.started_at_ms, started_at_ms)
 
     def _on_limit_change(self, record: LimitRecord, source: str) -> None:
         self._metrics.increment("back-ends.limit-changes")
--- /dev/null
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/gateway_gauges.py
@@ -0,0 +1,65 @@
+"""Gauges of the gateway, read each time its metrics are collected."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from kitekeel_backends.connection_pool import ConnectionPool
+from kitekeel_daemon.back_end_limiter import BackEndLimiter
+from kitekeel_daemon.crash_guard import CrashGuard
+from kitekeel_daemon.fleet_follower import FleetFollower
+from kitekeel_daemon.fleet_news import FleetNews
+from kitekeel_daemon.fleet_size import FleetSize
+from kitekeel_daemon.gateway_metrics import GatewayMetrics
+from kitekeel_daemon.request_router import RequestRouter
+from kitekeel_daemon.tenant_admission import TenantAdmission
+from kitekeel_steering.fleet_view import FleetView
+
+
+class GaugeSources(msgspec.Struct, frozen=True):
+    """The components of a gateway that the gauges read."""
+
+    router: RequestRouter
+    view: FleetView
+    follower: FleetFollower
+    news: FleetNews
+    size: FleetSize
+    pool: ConnectionPool
+    guard: CrashGuard
+    tenants: TenantAdmission
+    limiter: BackEndLimiter
+
+
+def add_gauges(metrics: GatewayMetrics, sources: GaugeSources) -> None:
+    """Register the gauges of a gateway with its metrics."""
+    for name, description, read in _gauges(sources):
+        metrics.add_gauge(f"kitekeel_{name}", description, read)
+
+
+def _gauges(sources: GaugeSources) -> list[tuple[str, str, Callable[[], float]]]:
+    view, router, follower = sources.view, sources.router, sources.follower
+    return [
+        ("requests_in_flight", "Requests without an answer", lambda: router.in_flight),
+        ("view_age_seconds", "Time since the store was heard from", view.age_seconds),
+        ("configuration_version", "Version in force", view.configuration_version),
+        ("back_ends", "Back ends known", lambda: len(view.all_back_ends())),
+        ("limited_back_ends", "Back ends with a rate limit", sources.limiter.limited_back_ends),
+        ("watches_store", "1 while it asks the store itself", lambda: follower.is_watching),
+        ("subscribers", "Daemons that it tells of changes", sources.news.feed.count),
+        ("evacuated_zones", "Zones evacuated", lambda: len(view.evacuated_zones)),
+        ("daemons", "Daemons that share the limits", sources.size.daemons.value),
+        ("back_end_connections", "Connections open", sources.pool.open_connections),
+        (
+            "quarantined_requests",
+            "Not sent, as back ends end under them",
+            sources.guard.count,
+        ),
+        (
+            "quota_without_keeper",
+            "1 while limits of tenants are kept by an equal part",
+            sources.tenants.is_alone,
+        ),
+        ("retry_budget_used", "Most used retry budget, 0 to 1", router.repeats_used),
+    ]
--- a/packages/kitekeel-steering/src/kitekeel_steering/fleet_items.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/fleet_items.py
@@ -18,6 +18,11 @@
 LONGEST_COLD_SECONDS = 3_600.0
 
 
+def may_be_same_process(started_at_ms: int, other_started_at_ms: int) -> bool:
+    """Return whether two start times may belong to the same process; 0 means unknown."""
+    return started_at_ms == other_started_at_ms or 0 in (started_at_ms, other_started_at_ms)
+
+
 class BackEndRecord(msgspec.Struct, frozen=True):
     """A back end as it registered itself.
 
@@ -42,8 +47,7 @@
 
     def is_same_process(self, other: BackEndRecord) -> bool:
         """Tell whether another record of the same name is of the same process, as far as known."""
-        starts = (self.started_at_ms, other.started_at_ms)
-        return starts[0] == starts[1] or 0 in starts
+        return may_be_same_process(self.started_at_ms, other.started_at_ms)
 
 
 class ItemKind(enum.IntEnum):
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -2,9 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Iterator
 
-import eliot
 import msgspec
 import pytest
 from gateway_stand_ins import RunningGateway, ask, fleet, play, until
@@ -15,14 +13,6 @@
 GATEWAYS = 3
 
 
-@pytest.fixture
-def lines() -> Iterator[list[dict[str, object]]]:
-    found: list[dict[str, object]] = []
-    eliot.add_destinations(found.append)
-    yield found
-    eliot.remove_destination(found.append)
-
-
 async def gateways(store: MemoryStore) -> list[RunningGateway]:
     first = await RunningGateway(store, "g0").start()
     others = (
--- a/tests/test_gateway_tenants.py
+++ b/tests/test_gateway_tenants.py
@@ -2,11 +2,8 @@
 
 import asyncio
 import json
-from collections.abc import Iterator
 
-import eliot
 import msgspec
-import pytest
 from gateway_stand_ins import (
     NAMES,
     BackEndStandIn,
@@ -37,14 +34,6 @@
     return [value for each, value in back_end.headers[request_id] if each.lower() == name]
 
 
-@pytest.fixture
-def lines() -> Iterator[list[dict[str, object]]]:
-    found: list[dict[str, object]] = []
-    eliot.add_destinations(found.append)
-    yield found
-    eliot.remove_destination(found.append)
-
-
 def test_back_ends_are_told_the_tenant_and_never_the_key(lines: list[dict[str, object]]) -> None:
     async def scenario() -> None:
         store, (back_end,) = await fleet(1)
