Compare records repeatedly after start so a new gateway learns limits

A gateway that started just after a back end had advertised a limit did not know the limit 3 s after joining the other gateways: 6 of 8 runs of test_a_gateway_that_starts_later_learns_of_a_limit on a quiet machine. It was first seen as a single failure under a load of 25, when the test also counted the time of joining.

The gateway compared its records only once, with a neighbour that had not received the limit yet either. Nobody sent it the limit afterwards, because the change had already propagated, and the other gateways, which had had nothing to compare before, slept for up to 6 s. Crash records are exchanged by the same code.

--- a/packages/kitekeel-peers/src/kitekeel_peers/record_exchange.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/record_exchange.py
@@ -2,8 +2,8 @@
 
 A record that has changed is told to the neighbours on the ring, who tell theirs; one that has not
 is not told on, so nothing goes in circles. What a lost call, a cut or a start leaves out is made up
-for by comparing with a neighbour in turn. Where no daemon has a record nothing is sent, but for one
-comparison after a start.
+for by comparing with a neighbour in turn. Where no daemon has a record nothing is sent, but for the
+comparisons in the first seconds after a start.
 """
 
 from __future__ import annotations
@@ -28,6 +28,8 @@
 _CALM_COMPARE_SECONDS = 5.0
 _CALM_AFTER_SECONDS = 10.0
 _FIRST_COMPARE_SECONDS = 0.1
+# Lets a daemon fetch changes that propagated during its start and that nobody sends again.
+_STARTUP_SECONDS = 5.0
 # Batches changes that occur in quick succession into one call.
 _JOIN_SECONDS = 0.05
 # Daemons that learned something together do not stay in step.
@@ -139,6 +141,8 @@
         self._calls: set[asyncio.Task[RecordReply[Record] | None]] = set()
         self._has_compared = False
         self._changed_at = float("-inf")
+        self._change_event = asyncio.Event()
+        self._startup_ends_at = loop.time() + _STARTUP_SECONDS
 
     def register(self, server: PeerServer) -> None:
         """Serve the method."""
@@ -148,6 +152,7 @@
     def tell(self, record: Record) -> None:
         """Tell the neighbours of a record that has changed; called on the event loop."""
         self._changed_at = self._loop.time()
+        self._change_event.set()
         self._untold[record.identity] = record
         if self._telling is None or self._telling.done():
             self._telling = self._loop.create_task(self._tell_all())
@@ -155,16 +160,31 @@
     async def run(self) -> None:
         """Compare with a neighbour in turn, until cancelled."""
         while True:
-            if not self._has_compared or self._records.needs_comparison():
+            if self._is_comparison_needed():
                 await self._compare_with_a_neighbour()
-            seconds = self._interval_seconds()
-            jitter = self._random.uniform(1.0 - _JITTER_SHARE, 1.0 + _JITTER_SHARE)
-            await asyncio.sleep(seconds * jitter)
+            await self._wait_for_next_comparison()
+
+    def _is_comparison_needed(self) -> bool:
+        is_starting = self._loop.time() < self._startup_ends_at
+        return is_starting or not self._has_compared or self._records.needs_comparison()
+
+    async def _wait_for_next_comparison(self) -> None:
+        """Wait for the interval; a change replaces the rest of it with a short wait."""
+        jitter = self._random.uniform(1.0 - _JITTER_SHARE, 1.0 + _JITTER_SHARE)
+        seconds = self._interval_seconds() * jitter
+        self._change_event.clear()
+        try:
+            async with asyncio.timeout(seconds):
+                await self._change_event.wait()
+        except TimeoutError:
+            return
+        await asyncio.sleep(min(seconds, _COMPARE_SECONDS * jitter))
 
     def _interval_seconds(self) -> float:
         if not self._has_compared:
             return _FIRST_COMPARE_SECONDS
-        is_calm = self._loop.time() - self._changed_at > _CALM_AFTER_SECONDS
+        now = self._loop.time()
+        is_calm = now >= self._startup_ends_at and now - self._changed_at > _CALM_AFTER_SECONDS
         if is_calm and not self._records.has_urgent_records():
             return _CALM_COMPARE_SECONDS
         return _COMPARE_SECONDS
