Require more evidence against requests that were answered before

While many requests crashed back ends at the same time, a harmless request that often ran beside them was refused as well, for ten seconds and more after all crashing requests were known.

Cause: a harmless request that runs a dozen times a second loses its third back end before each of 20 crashing requests has been seen three times. It then has the most ends, is judged first, and is taken to explain ends that others caused. Nothing distinguished it from a request that was never answered.

Change: each daemon counts complete answers by request for one to two minutes, in bounded memory. A crash record stores whether a daemon had counted three or more answers when it noted an end. Such a request is judged last, only by the ends that no unanswered suspect with two or more ends explains, and needs six of them. The field is appended to the record; records without it are read.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/crash_guard.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/crash_guard.py
@@ -159,8 +159,6 @@
 
     def note_answered(self, request: ProxiedRequest) -> None:
         """Note that a back end answered a request whole, and not with a failure."""
-        if not self.ledger.may_know(identify_target(request)):
-            return
         self.ledger.note_answered(identify(request, self._names))
 
     def _on_end(self, identity: str, record: BackEndRecord) -> None:
--- a/packages/kitekeel-steering/src/kitekeel_steering/crash_ledger.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/crash_ledger.py
@@ -9,6 +9,12 @@
   left for the others must still be two ends. So a request that was wrongly taken for the cause is
   released as soon as the true one has ended one process more.
 
+A request with several recent complete answers before an end is probably harmless. It is judged
+last, only by the ends that no other suspect with two or more ends and without such answers
+explains, and needs twice as many of them. Otherwise, when many requests end back ends at the same
+time, a frequent harmless request reaches its third end before all of them have, and is quarantined
+for ends that they caused.
+
 Daemons merge each other's records in any order, also twice, and come to the same: a record only
 grows, first by its epoch and within that by its ends. What one daemon has forgotten as too old the
 others do not bring back, since the age goes by the last end.
@@ -23,11 +29,17 @@
 import msgspec
 import xxhash
 
+from kitekeel_steering.answer_counts import AnswerCounts
 from kitekeel_steering.clock import Clock
 from kitekeel_steering.request_identity import target_of
 
 ENDS_UNTIL_QUARANTINE = 3
 _LEAST_UNEXPLAINED_ENDS = 2
+ENDS_UNTIL_QUARANTINE_IF_ANSWERED = 6
+# A request that ends back ends is not expected to be answered this often.
+_LEAST_ANSWERS = 3
+# An unanswered suspect with fewer ends does not explain the ends of answered requests.
+_LEAST_EXPLAINING_ENDS = 2
 # A request that was quarantined for ends that it did not cause is released by the answer to one
 # try, which costs one back end more where it did.
 _FIRST_TRY_AFTER_SECONDS = 10.0
@@ -61,6 +73,7 @@
         versions: their software's versions, sorted.
         tries: what each careful try was allowed for since: a while without it, or a version.
         last_end_at: wall-clock time of the last end in seconds since 1970.
+        was_answered: whether a daemon had counted several recent answers when it noted an end.
     """
 
     identity: _Name
@@ -70,6 +83,12 @@
     versions: _Names = ()
     tries: _Names = ()
     last_end_at: Annotated[float, msgspec.Meta(ge=0.0, lt=1e12)] = 0.0
+    was_answered: bool = False
+
+    @property
+    def ends_until_quarantine(self) -> int:
+        """Return the minimum number of ends for quarantining the request."""
+        return ENDS_UNTIL_QUARANTINE_IF_ANSWERED if self.was_answered else ENDS_UNTIL_QUARANTINE
 
     def merged(self, other: CrashRecord) -> CrashRecord:
         """Return what both know together."""
@@ -83,6 +102,7 @@
             _union(self.versions, other.versions, _MOST_VERSIONS),
             _union(self.tries, other.tries, _MOST_TRIES),
             max(self.last_end_at, other.last_end_at),
+            self.was_answered or other.was_answered,
         )
 
     def with_try(self, reason: str) -> CrashRecord:
@@ -93,7 +113,11 @@
     def cleared(self) -> CrashRecord:
         """Return the record of the request once it was found harmless."""
         return CrashRecord(
-            self.identity, self.service, self.epoch + 1, last_end_at=self.last_end_at
+            self.identity,
+            self.service,
+            self.epoch + 1,
+            last_end_at=self.last_end_at,
+            was_answered=self.was_answered,
         )
 
 
@@ -128,6 +152,7 @@
     ) -> None:
         self._clock = clock
         self._on_change = on_change
+        self._answers = AnswerCounts(clock)
         self._records: dict[str, CrashRecord] = {}
         self._targets: Counter[str] = Counter()
         self._quarantined: frozenset[str] = frozenset()
@@ -191,12 +216,20 @@
         """Note that a back end's process ended while it ran the request."""
         known = self._records.get(identity) or CrashRecord(identity, service)
         found = CrashRecord(
-            identity, service, known.epoch, (process,), (version,), (), self._clock.wall()
+            identity,
+            service,
+            known.epoch,
+            (process,),
+            (version,),
+            (),
+            self._clock.wall(),
+            self._answers.count(identity) >= _LEAST_ANSWERS,
         )
         self._take([known.merged(found)], OWN)
 
     def note_answered(self, identity: str) -> None:
         """Note that a back end answered the request and lived."""
+        self._answers.note(identity)
         record = self._records.get(identity)
         if record is not None and record.ends:
             self._take([record.cleared()], OWN)
@@ -254,11 +287,29 @@
         explained: set[str] = set()
         found: set[str] = set()
         for each in accused:
+            if each.was_answered:
+                continue
             if len(set(each.ends) - explained) >= _LEAST_UNEXPLAINED_ENDS:
                 found.add(each.identity)
                 explained.update(each.ends)
+        answered = [each for each in accused if each.was_answered]
+        if answered:
+            explained.update(self._ends_explained_by_unanswered())
+        for each in answered:
+            if len(set(each.ends) - explained) >= each.ends_until_quarantine:
+                found.add(each.identity)
+                explained.update(each.ends)
         self._quarantined = frozenset(found)
 
+    def _ends_explained_by_unanswered(self) -> set[str]:
+        """Return the ends explained by unanswered suspects that have enough of them."""
+        suspects = [
+            each
+            for each in self._records.values()
+            if not each.was_answered and len(each.ends) >= _LEAST_EXPLAINING_ENDS
+        ]
+        return {end for each in suspects for end in each.ends}
+
     def _bound(self) -> None:
         """Drop the least suspect and oldest beyond the bound, so that many cost no others."""
         excess = len(self._records) - _MOST_RECORDS
@@ -306,7 +357,7 @@
 
 
 def _may_be_cause(record: CrashRecord) -> bool:
-    return len(record.ends) >= ENDS_UNTIL_QUARANTINE
+    return len(record.ends) >= record.ends_until_quarantine
 
 
 def _union(some: tuple[str, ...], others: tuple[str, ...], most: int) -> tuple[str, ...]:
--- a/tests/test_crash_ledger.py
+++ b/tests/test_crash_ledger.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from kitekeel_steering.answer_counts import AnswerCounts
 from kitekeel_steering.clock import ManualClock
 from kitekeel_steering.crash_ledger import (
     ENDS_UNTIL_QUARANTINE,
@@ -77,6 +78,53 @@
     assert found.is_quarantined(CRASHER)
 
 
+def note_answers(into: CrashLedger, identity: str) -> None:
+    for _ in range(3):
+        into.note_answered(identity)
+
+
+def test_a_request_that_was_answered_before_needs_more_ends_to_be_quarantined() -> None:
+    found = ledger()
+    note_answers(found, CRASHER)
+    note_ends(found, CRASHER, 1, 2, 3, 4, 5)
+    assert not found.is_quarantined(CRASHER)
+    note_ends(found, CRASHER, 6)
+    assert found.is_quarantined(CRASHER)
+
+
+def test_ends_explained_by_an_unanswered_suspect_do_not_count_against_an_answered_one() -> None:
+    found = ledger()
+    note_answers(found, BESIDE)
+    note_ends(found, BESIDE, 1, 2, 3, 4, 5, 6, 7)
+    assert found.is_quarantined(BESIDE)
+    note_ends(found, CRASHER, 1, 2)
+    assert not found.is_quarantined(BESIDE)
+
+
+def test_expired_answers_do_not_count() -> None:
+    clock = ManualClock()
+    found = ledger(clock)
+    note_answers(found, CRASHER)
+    clock.advance(130.0)
+    note_ends(found, CRASHER, 1, 2, 3)
+    assert found.is_quarantined(CRASHER)
+
+
+def test_answer_counts_use_bounded_memory() -> None:
+    counts = AnswerCounts(ManualClock())
+    for number in range(20_000):
+        counts.note(f"request-{number}")
+    assert counts.count("request-19999") == 1
+    assert counts.count("request-0") == 0
+    assert counts.request_count() <= 8_000
+
+
+def test_a_record_without_the_answered_field_is_read() -> None:
+    encoded = msgspec.msgpack.encode((CRASHER, SERVICE, 0, ("b1/1",), ("v1",), (), 1.0))
+    record = msgspec.msgpack.decode(encoded, type=CrashRecord)
+    assert not record.was_answered
+
+
 def test_the_third_end_may_be_the_sum_of_what_three_daemons_saw() -> None:
     daemons = [ledger() for _ in range(3)]
     for number, each in enumerate(daemons):
@@ -177,6 +225,7 @@
     epoch=st.integers(0, 2),
     ends=st.sets(_names, max_size=16).map(lambda some: tuple(sorted(some))),
     last_end_at=st.floats(0.0, 1.0),
+    was_answered=st.booleans(),
 )
 
 
--- a/tests/test_crash_simulation.py
+++ b/tests/test_crash_simulation.py
@@ -10,6 +10,8 @@
 
 # Three ends of its own, and two of a try each at most; several at one back end count for one alone.
 MOST_ENDS_FOR_ONE = 6
+# A request that was answered before needs twice the ends; its tries are bounded in the same way.
+MOST_ENDS_FOR_ONE_ANSWERED_BEFORE = 9
 SEEDS = range(8)
 
 
@@ -62,6 +64,33 @@
     assert hot.refused == refused
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_request_that_was_answered_before_is_served_beside_many_crashing_ones(seed: int) -> None:
+    """A harmless request must not be quarantined before the crashing ones have enough ends."""
+    places = tuple(range(24))
+    hot = Caller(identity("h", 1), 12.0, places=places)
+    bad = crashing(20)
+    played = Simulation([hot], seed=seed)
+    played.play(5.0)
+    played.callers.extend(bad)
+    played.play(16.0)
+    assert hot.refused == 0
+    assert quarantined(played) == {each.identity for each in bad}
+    assert played.ended <= MOST_ENDS_FOR_ONE * len(bad)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_request_that_begins_to_end_back_ends_after_answers_is_found(seed: int) -> None:
+    """Earlier answers must not exempt a request from quarantine."""
+    late_crasher = Caller(identity("t", 1), 5.0)
+    played = Simulation([*harmless(40, 5.0), late_crasher], seed=seed)
+    played.play(10.0)
+    late_crasher.ends_back_ends = True
+    played.play(30.0)
+    assert quarantined(played) == {late_crasher.identity}
+    assert played.ended <= MOST_ENDS_FOR_ONE_ANSWERED_BEFORE
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_back_ends_that_end_by_themselves_cost_nobody_much(seed: int) -> None:
     """One of 24 ends every two seconds for a minute."""
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -148,6 +148,33 @@
         play(lambda: play_a_crashing_request(route, takes_new_names))  # noqa: B023
 
 
+CRASHING_REQUEST_COUNT = 20
+
+
+async def play_many_crashing_requests() -> None:
+    """A harmless request must not be quarantined for ends that other requests cause."""
+    _, back_ends, gateways = await crashing_fleet(back_ends=CRASHING_REQUEST_COUNT)
+    beside = Load(f"/safe/{SLOW_PATH}!", 12.0, "object", [])
+    crashing = [
+        Load(f"/safe/{CRASHING_PATH}-{number}!", 5.0, f"object-{number}", [])
+        for number in range(CRASHING_REQUEST_COUNT)
+    ]
+    async with asyncio.TaskGroup() as group:
+        group.create_task(beside.run(gateways, 20.0))
+        await asyncio.sleep(4.0)
+        for each in crashing:
+            group.create_task(each.run(gateways, 15.0))
+        assert await until(
+            lambda: all(quarantined(each) >= CRASHING_REQUEST_COUNT for each in gateways), 14.0
+        )
+        settled = time.monotonic() + NEWS_SECONDS
+    assert beside.served_share(settled) >= LEAST_SERVED_SHARE
+
+
+def test_a_request_answered_before_is_served_beside_many_crashing_ones() -> None:
+    play(play_many_crashing_requests)
+
+
 LONGEST_NEWS_SECONDS = 3.0
 
 
