Drop a limit's shares when the start time of its process becomes known

Symptom: if a back end advertised a limit before its start time was known and a different limit afterwards, each daemon kept shares under the process's previous name. After the limit had ended, daemons continued to lend seconds for it, at about 2.5 calls per second each, until they were restarted.

Cause: shares are stored by process name, which contains the start time. A record with a new name replaced the previous one, and later only the shares of the new name were dropped.

The rate of 2.5 calls is worked out from the lending interval.

Change: the callback for a changed limit also receives the previous record, and the limiter drops the shares of a previous name.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/back_end_limiter.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/back_end_limiter.py
@@ -216,8 +216,13 @@
         current = self._view.find_back_end(instance)
         return current is not None and may_be_same_process(current.started_at_ms, started_at_ms)
 
-    def _on_limit_change(self, record: LimitRecord, source: str) -> None:
+    def _on_limit_change(
+        self, record: LimitRecord, previous: LimitRecord | None, source: str
+    ) -> None:
         self._metrics.increment("back-ends.limit-changes")
+        if previous is not None and previous.identity != record.identity:
+            # The identity changes when the start time of the process becomes known.
+            self._drop_shares(previous.identity)
         if record.rate is None:
             self._drop_shares(record.identity)
         else:
--- a/packages/kitekeel-steering/src/kitekeel_steering/back_end_limits.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/back_end_limits.py
@@ -56,14 +56,15 @@
     Args:
         clock: stamps the records that this daemon creates from answers.
         is_current: returns whether the process with this name and start time is registered.
-        on_change: called with each changed record and its source, ``own`` or another daemon.
+        on_change: called with each changed record, the record that it replaces or ``None``, and
+            its source, ``own`` or another daemon.
     """
 
     def __init__(
         self,
         clock: HybridClock,
         is_current: Callable[[str, int], bool],
-        on_change: Callable[[LimitRecord, str], None],
+        on_change: Callable[[LimitRecord, LimitRecord | None, str], None],
     ) -> None:
         self._clock = clock
         self._is_current = is_current
@@ -136,5 +137,6 @@
         return value
 
     def _keep(self, record: LimitRecord, source: str) -> None:
+        previous = self._records.get(record.instance)
         self._records[record.instance] = record
-        self._on_change(record, source)
+        self._on_change(record, previous, source)
--- a/tests/test_back_end_limits.py
+++ b/tests/test_back_end_limits.py
@@ -19,7 +19,7 @@
         self.limits = BackEndLimits(
             HybridClock(SystemClock()),
             lambda instance, start: self.starts.get(instance) == start,
-            lambda record, source: self.changes.append((record.rate, source)),
+            lambda record, _previous, source: self.changes.append((record.rate, source)),
         )
 
 
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -8,11 +8,15 @@
 from gateway_stand_ins import RunningGateway, ask, fleet, play, until
 from memory_store import MemoryStore
 
+from kitekeel_daemon.back_end_limiter import BACK_END_QUOTA
+from kitekeel_peers.rpc import PeerClient
 from kitekeel_steering.errors import PeerError
+from kitekeel_steering.tenant_quota import LENDING_SECONDS
 
 GATEWAYS = 3
 LONGEST_JOIN_SECONDS = 12.0
 LONGEST_REFUSAL_SECONDS = 1.0
+LONGEST_PROPAGATION_SECONDS = 5.0
 # Keeps a loaded machine, which also slows unrouted requests, from failing the refusal test.
 MAX_UNROUTED_RATIO = 3.0
 
@@ -121,6 +125,51 @@
     play(scenario)
 
 
+def test_quota_calls_end_with_the_limit_if_the_start_time_became_known_later(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against shares kept under the process name from before its start time was known."""
+    quota_call_times: list[float] = []
+    call = PeerClient.call
+
+    def call_and_record(
+        client: PeerClient, address: str, method: str, *arguments: object
+    ) -> object:
+        if method == BACK_END_QUOTA:
+            quota_call_times.append(time.monotonic())
+        return call(client, address, method, *arguments)  # type: ignore[arg-type]
+
+    monkeypatch.setattr(PeerClient, "call", call_and_record)
+
+    async def scenario() -> None:
+        store, (back_end,) = await fleet(1)
+        running = await gateways(store)
+        back_end.rate_limit = "300"
+        await ask_until_served(running[0], "unknown-start")
+        assert await until(lambda: limits(running, "b0") == {300.0}, LONGEST_PROPAGATION_SECONDS)
+        await store.put_back_end(msgspec.structs.replace(back_end.record, started_at_ms=5))
+        assert await until(
+            lambda: all_know_start_time(running, "b0", 5), LONGEST_PROPAGATION_SECONDS
+        )
+        back_end.rate_limit = "200"
+        await ask_until_served(running[0], "known-start")
+        assert await until(lambda: limits(running, "b0") == {200.0}, LONGEST_PROPAGATION_SECONDS)
+        assert quota_call_times
+        back_end.rate_limit = ""
+        await ask_until_served(running[0], "no-limit")
+        assert await until(lambda: limits(running, "b0") == {None}, LONGEST_PROPAGATION_SECONDS)
+        deadline = time.monotonic() + 2 * LENDING_SECONDS
+        await asyncio.sleep(6 * LENDING_SECONDS)
+        assert [at for at in quota_call_times if at > deadline] == []
+
+    play(scenario)
+
+
+def all_know_start_time(running: list[RunningGateway], instance: str, started_at_ms: int) -> bool:
+    records = [each.gateway.view.find_back_end(instance) for each in running]
+    return all(each is not None and each.started_at_ms == started_at_ms for each in records)
+
+
 def test_requests_beyond_the_limits_of_all_back_ends_are_refused_at_once() -> None:
     async def scenario() -> None:
         store, back_ends = await fleet(2)
--- a/tests/test_limit_exchange.py
+++ b/tests/test_limit_exchange.py
@@ -39,7 +39,9 @@
         table = MemberTable(member("d0"), clock, lambda _: None)
         table.merge([member("d1")])
         limits = BackEndLimits(
-            HybridClock(clock), lambda _name, _start: True, lambda record, _: exchange.tell(record)
+            HybridClock(clock),
+            lambda _name, _start: True,
+            lambda record, _previous, _source: exchange.tell(record),
         )
         loop = asyncio.get_running_loop()
         exchange = LimitExchange(
