Answer quota requests that arrive while the daemon stops

Symptom: a daemon that requested tokens from a stopping keeper received an internal error, treated the keeper as silent and lost the seconds that it had lent with the request (read in the code, not seen in a run).

Cause: when a daemon begins to stop, its executor for calls to other keepers is shut down while its peer server still serves requests. Starting a call on that executor raises RuntimeError, which was not caught.

Evidence: without the fix, the new test fails with that RuntimeError.

Change: calls to other keepers are started in one method. If the executor is shut down, it counts the call (quota.calls-after-stop) and continues without it, and the request is answered from the keeper's own pool. Tokens that were about to be forwarded are discarded, which cannot exceed a limit.

--- a/packages/kitekeel-peers/src/kitekeel_peers/quota_pools.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/quota_pools.py
@@ -12,6 +12,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping
 from concurrent.futures import Executor, Future, wait
+from functools import partial
 
 from kitekeel_peers.quota_keepers import QuotaKeepers
 from kitekeel_peers.quota_messages import QuotaGrant, QuotaReply, QuotaRequest, QuotaWant
@@ -180,11 +181,21 @@
         homes: dict[str, list[QuotaWant]] = defaultdict(list)
         for each in wants:
             homes[each.shares.home].append(each)
-        return [
-            self._executor.submit(self._pull_from, address, group, tuple(lacking))
+        pulls = [
+            self._start_call(partial(self._pull_from, address, group, tuple(lacking)))
             for home, lacking in homes.items()
             for address in self._addresses_to_ask(group, home)
         ]
+        return [each for each in pulls if each is not None]
+
+    def _start_call(self, call: Callable[[], None]) -> Future[None] | None:
+        """Start a call to another keeper; return ``None`` if the executor is shut down."""
+        try:
+            return self._executor.submit(call)
+        except RuntimeError:
+            # The peer server still serves requests after the executor is shut down.
+            self._metrics.increment("quota.calls-after-stop")
+            return None
 
     def _addresses_to_ask(self, group: int, home: str) -> list[str]:
         if home:
@@ -212,7 +223,7 @@
                     continue
                 self._forward_after[home] = now + _FORWARD_INTERVAL_SECONDS
                 request = self._forward_request(group, limits, now)
-                self._executor.submit(self._forward_to, keeper, home, request)
+                self._start_call(partial(self._forward_to, keeper, home, request))
 
     def _forward_request(
         self, group: int, limits: Mapping[str, QuotaShares], now: float
--- a/tests/test_quota_exchange.py
+++ b/tests/test_quota_exchange.py
@@ -10,7 +10,7 @@
 from kitekeel_peers.messages import MemberPhase, MemberRecord
 from kitekeel_peers.quota_exchange import QuotaExchange
 from kitekeel_peers.quota_keepers import QuotaKeepers
-from kitekeel_peers.quota_messages import QuotaReply, QuotaRequest
+from kitekeel_peers.quota_messages import QuotaReply, QuotaRequest, QuotaWant
 from kitekeel_steering.clock import SystemClock, steady_seconds
 from kitekeel_steering.errors import PeerError
 from kitekeel_steering.steady_loop import run_on_steady_loop
@@ -302,3 +302,23 @@
         assert len(refused) <= 0.02 * (len(refused) + len(admitted))
 
     play(scenario())
+
+
+def test_a_stopping_keeper_answers_quota_requests() -> None:
+    """Guards against an uncaught RuntimeError after the executor for calls is shut down."""
+
+    async def scenario() -> None:
+        fleet = Fleet(Tenant("t", rate=100.0))
+        try:
+            (keeper, *_) = sorted(fleet.keepers_of("north"))
+            instance = next(each.instance for each in fleet.records if each.peer_address == keeper)
+            fleet.exchanges[instance].close()
+            wants = (QuotaWant("t", 1_000.0, fleet.shares),)
+            request = QuotaRequest(0, "north:7", 0.5, DAEMONS_PER_REGION, wants)
+            reply = await asyncio.to_thread(fleet.network.handlers[keeper], request)
+            assert sum(each.tokens for each in reply.grants) <= 1_000
+            assert fleet.metrics.counts["quota.calls-after-stop"] >= 1
+        finally:
+            fleet.close()
+
+    play(scenario())
