Keep a retried request's order of arrival in the queue

Cause: a request that had a slot but was not sent, because its grant had ended or the connection to its back end was not opened within 1 s, was queued again as the last one. If the waiting places had been taken meanwhile, it was refused as "queue-full", although it had arrived before the waiting requests.

Change: a retry keeps its order of arrival, needs no free waiting place, and its estimated wait counts only the requests ahead of it. This applies to every retry, including those after a 503 answer or a failed exchange. A refusal for a full queue after more than 0.5 s is logged as request-refused-late, with the seconds spent in each phase.

--- a/features/environment.py
+++ b/features/environment.py
@@ -3,7 +3,7 @@
 from behave.model import Scenario
 from behave.runner import Context
 
-_KINDS = ("request-unknown", "request-late")
+_KINDS = ("request-unknown", "request-late", "request-refused-late")
 _MOST_LINES = 50
 
 
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/phase_report.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/phase_report.py
@@ -1,6 +1,7 @@
 """Tells where requests spend their time: counters for all of them, lines for some.
 
-A request has a line if it was answered late, or if nobody knows whether it was run.
+A request is logged if it was answered late, if its outcome is unknown, or if it was refused for a
+full queue after a delay.
 """
 
 from __future__ import annotations
@@ -9,9 +10,10 @@
 
 import eliot
 
-from kitekeel_callers.answers import UNKNOWN
+from kitekeel_callers.answers import NOT_RUN, UNKNOWN
 from kitekeel_callers.caller_request import CallerRequest
 from kitekeel_daemon.line_budget import LineBudget
+from kitekeel_steering.errors import QueueFullError
 from kitekeel_steering.metrics import Metrics
 from kitekeel_steering.request_phases import Phase
 
@@ -20,6 +22,8 @@
 _CLASS_ENDS_MS = (10, 100, 500, 1000, 2000, 4000, 8000)
 # An answer that a back end's deadline made leaves by so much after it even on an idle machine.
 _TOLERATED_SECONDS = 0.25
+# A full queue is detected when a slot is requested; a slower refusal indicates an earlier delay.
+_SLOW_REFUSAL_SECONDS = 0.5
 _LINES_PER_SECOND = 20
 
 
@@ -38,7 +42,7 @@
         self._lock = threading.Lock()
 
     def note_ended(self, request: CallerRequest, outcome: str, cause: str) -> None:
-        """Count the phases of a request, and write a line if it was late or its outcome unknown.
+        """Count the phases of a request, and log it if it was late, unknown or refused slowly.
 
         Args:
             request: its phases have ended.
@@ -51,17 +55,20 @@
         is_late = late > _TOLERATED_SECONDS
         if is_late:
             self._metrics.increment("requests.late")
-        if not is_late and outcome != UNKNOWN:
+        message_type = _message_type(request, outcome, cause, is_late)
+        if not message_type:
             return
         with self._lock:
             may_write = self._lines.try_take(1)
         if may_write:
-            self._write(request, outcome, cause, late)
+            self._write(message_type, request, outcome, cause, late)
 
-    def _write(self, request: CallerRequest, outcome: str, cause: str, late: float) -> None:
+    def _write(
+        self, message_type: str, request: CallerRequest, outcome: str, cause: str, late: float
+    ) -> None:
         spent = request.phases.seconds
         eliot.log_message(
-            message_type="request-late" if late > _TOLERATED_SECONDS else "request-unknown",
+            message_type=message_type,
             daemon=self._daemon,
             request_id=request.forwarded.request_id,
             service=request.service,
@@ -74,6 +81,18 @@
         )
 
 
+def _message_type(request: CallerRequest, outcome: str, cause: str, is_late: bool) -> str:
+    """Return the message type of a request's log line, or an empty string if it has none."""
+    if is_late:
+        return "request-late"
+    if outcome == UNKNOWN:
+        return "request-unknown"
+    is_slow = request.phases.total_seconds() > _SLOW_REFUSAL_SECONDS
+    if outcome == NOT_RUN and is_slow and cause.startswith(QueueFullError.code):
+        return "request-refused-late"
+    return ""
+
+
 def _time_class(seconds: float) -> str:
     milliseconds = seconds * 1000
     for end in _CLASS_ENDS_MS:
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/request_runner.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/request_runner.py
@@ -199,7 +199,7 @@
                 self._priority_class.name,
                 self._deadline,
                 frozenset(self._failed),
-                last_hold.key if last_hold else None,
+                last_hold,
                 self._least_seconds,
             )
         except NotRunError as error:
--- a/packages/kitekeel-steering/src/kitekeel_steering/admission.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/admission.py
@@ -104,7 +104,7 @@
         class_name: str,
         deadline: float,
         excluded: frozenset[str] = frozenset(),
-        again: DemandKey | None = None,
+        again: SlotHold | None = None,
         least_seconds: float = 0.0,
     ) -> SlotHold:
         """Return a slot for a request, waiting for one while an answer can still be in time.
@@ -116,7 +116,8 @@
             class_name: the request's priority class.
             deadline: monotonic time.
             excluded: back ends that must not be chosen, such as those that failed it before.
-            again: the key of the earlier try, where this is a retry.
+            again: the slot of the earlier try, where this is a retry. A retry keeps its order of
+                arrival and is not refused for a full queue.
             least_seconds: with less time left a slot is of no use.
 
         Raises:
@@ -238,7 +239,7 @@
                 self._shifts[name] = ShiftCounter(shift, self._clock)
                 self._shift_health[name] = ShiftHealth()
 
-    def _enter(self, class_name: str, excluded: frozenset[str], again: DemandKey | None) -> Waiter:
+    def _enter(self, class_name: str, excluded: frozenset[str], again: SlotHold | None) -> Waiter:
         service = self._configuration.find_service(self.service)
         priority_class = service.find_class(class_name) if service else None
         if priority_class is None:
@@ -246,11 +247,11 @@
         options = candidates(self._configuration, self.service, self._identity.region, class_name)
         if not options:
             raise NoRoomError(f"every back end of '{self.service}' is drained", 5.0)
-        self._make_place(priority_class)
+        if again is None:
+            self._make_place(priority_class)
+        order = next(self._order) if again is None else again.queue_order
         options = self._with_shift(options, again)
-        waiter = Waiter(
-            priority_class, next(self._order), options, excluded, self._clock.monotonic()
-        )
+        waiter = Waiter(priority_class, order, options, excluded, self._clock.monotonic())
         self._waiters.append(waiter)
         self._waiters.sort(key=lambda each: each.position)
         return waiter
@@ -274,7 +275,7 @@
         return max(1, int(priority_class.queue_places * self._queue_share))
 
     def _with_shift(
-        self, options: tuple[Candidate, ...], again: DemandKey | None
+        self, options: tuple[Candidate, ...], again: SlotHold | None
     ) -> tuple[Candidate, ...]:
         """Put a shift's target first where this request is one that it moves."""
         source = options[0].pool.region
@@ -329,7 +330,7 @@
         return counter is not None and counter.may_move_again()
 
     def _decide(self, waiter: Waiter, hold: SlotHold, now: float) -> None:
-        waiter.hold = hold
+        waiter.hold = msgspec.structs.replace(hold, queue_order=waiter.order)
         counter = self._shifts.get(hold.key.shift)
         if counter is not None:
             counter.note_moved()
@@ -348,18 +349,22 @@
 
     def _refuse_if_hopeless(self, waiter: Waiter, latest_start: float) -> None:
         """Refuse at once a request that the queue cannot reach in time."""
-        wait = self._estimated_wait(waiter.priority_class)
+        wait = self._estimated_wait(waiter.priority_class, waiter)
         remaining = latest_start - self._clock.monotonic()
         if wait > remaining:
             retry_after = max(_LEAST_RETRY_AFTER_SECONDS, wait - remaining)
             self._refuse(waiter, NoRoomError("the queue is longer than the deadline", retry_after))
 
-    def _estimated_wait(self, priority_class: PriorityClass) -> float:
+    def _estimated_wait(self, priority_class: PriorityClass, waiter: Waiter | None = None) -> float:
+        """Estimate the seconds until a waiter, by default the last of the class, is served."""
         rate = self._rates.get(priority_class.name)
         if rate is None or rate.per_second <= 0:
             return 0.0
-        ahead = sum(each.priority_class.name == priority_class.name for each in self._waiters)
-        return max(0, ahead - 1) / rate.per_second
+        orders = [
+            each.order for each in self._waiters if each.priority_class.name == priority_class.name
+        ]
+        ahead = len(orders) - 1 if waiter is None else sum(each < waiter.order for each in orders)
+        return max(0, ahead) / rate.per_second
 
     def _wait(self, waiter: Waiter, latest_start: float) -> None:
         """Wait for a decision, looking again whenever a farther region comes into question."""
--- a/packages/kitekeel-steering/src/kitekeel_steering/grant_table.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/grant_table.py
@@ -22,12 +22,18 @@
 
 
 class SlotHold(msgspec.Struct, frozen=True):
-    """One slot taken for one request."""
+    """One slot taken for one request.
+
+    Attributes:
+        taken_at: monotonic time in seconds.
+        queue_order: the request's order of arrival, which a retry keeps.
+    """
 
     pool: PoolName
     key: DemandKey
     back_end: str
     taken_at: float
+    queue_order: int = 0
 
 
 class HolderIdentity(msgspec.Struct, frozen=True):
--- a/packages/kitekeel-steering/src/kitekeel_steering/waiter.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/waiter.py
@@ -16,6 +16,7 @@
     """One request in the queue of a service.
 
     Attributes:
+        order: the request's order of arrival, which a retry keeps.
         position: orders the queue: rank of the class, then arrival.
         options: pools that may take it.
         excluded: back ends that must not be chosen.
@@ -33,6 +34,7 @@
         arrived_at: float,
     ) -> None:
         self.priority_class = priority_class
+        self.order = order
         self.position = (priority_class.rank, order)
         self.options = options
         self.excluded = excluded
--- a/tests/test_request_phases.py
+++ b/tests/test_request_phases.py
@@ -111,6 +111,18 @@
     assert line["cause"] == "connection-broken: reset"
 
 
+def test_only_slow_refusals_for_a_full_queue_have_a_line() -> None:
+    report = PhaseReport(MemoryMetrics(), "d1")
+    with logged_lines() as lines:
+        for seconds, cause in ((0.1, "queue-full: x"), (1.1, "no-room: x"), (1.1, "queue-full: x")):
+            request = request_that_arrived(seconds, 4000)
+            request.phases.end()
+            report.note_ended(request, "not-run", cause)
+    assert [(each["message_type"], each["cause"]) for each in lines] == [
+        ("request-refused-late", "queue-full: x")
+    ]
+
+
 def test_lines_of_late_requests_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
     now = time.monotonic()
     monkeypatch.setattr("kitekeel_daemon.line_budget.steady_seconds", lambda: now)
