Split crash records and verdicts from the ledger

The decision could be tested only through the ledger.

Behaviour is unchanged; the tests differ only in their imports.

--- a/features/environment.py
+++ b/features/environment.py
@@ -22,6 +22,6 @@
 
 
 def _failed_requests(output: str) -> str:
-    """Return the lines that tell where the time of late and unknown requests went."""
+    """Return the log lines that show where late, unknown and refused requests spent their time."""
     lines = [line for line in output.splitlines() if any(kind in line for kind in _KINDS)]
     return "\n".join(lines[-_MOST_LINES:])
--- a/packages/kitekeel-peers/src/kitekeel_peers/crash_exchange.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/crash_exchange.py
@@ -9,7 +9,8 @@
 from kitekeel_peers.member_table import MemberTable
 from kitekeel_peers.record_exchange import RecordExchange, RecordNews, RecordReply
 from kitekeel_peers.rpc import PeerClient
-from kitekeel_steering.crash_ledger import CrashLedger, CrashRecord
+from kitekeel_steering.crash_ledger import CrashLedger
+from kitekeel_steering.crash_records import CrashRecord
 
 CRASHES = "Crashes"
 CrashNews = RecordNews[CrashRecord]
--- a/packages/kitekeel-platform/src/kitekeel_platform/crash_record_sync.py
+++ b/packages/kitekeel-platform/src/kitekeel_platform/crash_record_sync.py
@@ -18,7 +18,8 @@
     RecordChangedError,
     StoredCrashRecord,
 )
-from kitekeel_steering.crash_ledger import CrashLedger, CrashRecord, LedgerChange
+from kitekeel_steering.crash_ledger import CrashLedger, LedgerChange
+from kitekeel_steering.crash_records import CrashRecord
 from kitekeel_steering.errors import PlatformError
 
 _NAME = "store/crash-records"
--- a/packages/kitekeel-steering/src/kitekeel_steering/answer_counts.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/answer_counts.py
@@ -8,7 +8,7 @@
 
 # Counts expire after one to two periods, or earlier where a period is full.
 _PERIOD_SECONDS = 60.0
-# Distinct requests per period; 0.2 KB each in memory.
+# Distinct requests per period; 0.12 KB each in memory.
 _MOST_REQUESTS = 4_000
 
 
--- a/tests/test_crash_ledger.py
+++ b/tests/test_crash_ledger.py
@@ -9,12 +9,8 @@
 
 from kitekeel_steering.answer_counts import AnswerCounts
 from kitekeel_steering.clock import ManualClock
-from kitekeel_steering.crash_ledger import (
-    ENDS_UNTIL_QUARANTINE,
-    CrashLedger,
-    CrashRecord,
-    find_try,
-)
+from kitekeel_steering.crash_ledger import CrashLedger, find_try
+from kitekeel_steering.crash_records import ENDS_UNTIL_QUARANTINE, CrashRecord
 
 SERVICE = "search"
 TARGET = "0123456789abcdef"
