Let a daemon that reaches no other one admit its equal part of a limit

Callers of a daemon without a keeper were refused although the limit left them room.

A daemon that shares its tokens with no other one has no unlent seconds besides, so that it may keep what those would amount to (here 2.5 tokens).

The new test fails on the former code. The model check holds for 1,000 examples of each kind, now with the pools' rounding.

--- a/packages/kitekeel-peers/src/kitekeel_peers/quota_exchange.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/quota_exchange.py
@@ -139,6 +139,7 @@
             generator,
             metrics,
             limits_with_home,
+            self._rounding,
         )
 
     def _group_of(self, tenant: str) -> int:
--- a/packages/kitekeel-peers/src/kitekeel_peers/quota_pools.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/quota_pools.py
@@ -20,7 +20,7 @@
 from kitekeel_steering.demand_rate import DemandRate
 from kitekeel_steering.errors import PeerError
 from kitekeel_steering.metrics import Metrics
-from kitekeel_steering.tenant_quota import QuotaPool, QuotaShares
+from kitekeel_steering.tenant_quota import QuotaPool, QuotaShares, without_rounding
 
 # A pool that holds less than its demand of this time asks other regions for as much.
 _KEPT_SECONDS = 0.5
@@ -56,6 +56,7 @@
         executor: runs what no request waits for.
         generator: chooses among the regions.
         limits_with_home: returns the shares of the limits that have a home region, by limit name.
+        rounding_of: as the rounding of a daemon's stock, by tenant.
     """
 
     def __init__(
@@ -70,10 +71,11 @@
         generator: random.Random,
         metrics: Metrics,
         limits_with_home: Callable[[], Mapping[str, QuotaShares]],
+        rounding_of: Callable[[str], float] = without_rounding,
     ) -> None:
         self._limits_with_home = limits_with_home
         self._forward_after: dict[str, float] = {}
-        self._pools = [QuotaPool() for _ in range(groups)]
+        self._pools = [QuotaPool(rounding_of) for _ in range(groups)]
         self._keepers = keepers
         self._shares_of = shares_of
         self._daemons = daemons
--- a/packages/kitekeel-steering/src/kitekeel_steering/tenant_quota.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/tenant_quota.py
@@ -16,6 +16,7 @@
 
 import enum
 import math
+from collections.abc import Callable
 from typing import Annotated
 
 import msgspec
@@ -106,6 +107,14 @@
     return QuotaShares(rate, pooled, _STOCKED_BACK_END_MARGIN * extra, home)
 
 
+def _most_of_one_daemon(shares: QuotaShares, daemons: int) -> float:
+    """Return the most tokens that a daemon may keep which shares them with no other one.
+
+    It has no unlent seconds besides, so that their part of the margin is free for tokens.
+    """
+    return max(shares.pooled, shares.rate * _LONGEST_LOAN_SECONDS) / max(1, daemons)
+
+
 class Claim(enum.Enum):
     """What became of a request's claim for a token, and who decided it."""
 
@@ -178,14 +187,23 @@
     heard_at: float
 
 
+def without_rounding(_tenant: str) -> float:
+    """Return the rounding of pools that need none: parts of a token count as nothing."""
+    return 0.0
+
+
 class QuotaPool:
     """The tokens of one keeper.
 
     Lent seconds are summed up as parts of a rate: a sum of 1 stands for one second of a tenant's
     whole rate. Each tenant's tokens follow from the sum when they are asked for.
+
+    Args:
+        rounding_of: as the rounding of :class:`QuotaStock`, by tenant.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, rounding_of: Callable[[str], float] = without_rounding) -> None:
+        self._rounding_of = rounding_of
         self._lent = 0.0
         self._levels: dict[str, _Level] = {}
         self._lenders: dict[str, float] = {}
@@ -236,7 +254,8 @@
     ) -> None:
         """Add tokens that a daemon gives back."""
         level = self._level(tenant, shares, now, daemons)
-        level.tokens = min(level.tokens + tokens, self._most(shares, now, daemons))
+        most = self._most(tenant, shares, now, daemons)
+        level.tokens = min(level.tokens + tokens, most)
 
     def move_in(
         self, tenant: str, shares: QuotaShares, tokens: float, now: float, daemons: int
@@ -279,14 +298,14 @@
             # What was lent before the tenant was first asked for is its own as well.
             level = self._levels[tenant] = _Level(0.0, 0.0)
         level.tokens += (self._lent - level.earned_at) * shares.rate
-        level.tokens = min(level.tokens, self._most(shares, now, daemons))
+        level.tokens = min(level.tokens, self._most(tenant, shares, now, daemons))
         level.earned_at = self._lent
         life = _MOVED_FROM_HOME_LIFE_SECONDS if shares.home else _MOVED_LIFE_SECONDS
         if now - level.moved_at > life:
             level.moved = 0.0
         return level
 
-    def _most(self, shares: QuotaShares, now: float, daemons: int) -> float:
+    def _most(self, tenant: str, shares: QuotaShares, now: float, daemons: int) -> float:
         """Return the most tokens that may lie here: the part of those daemons that lend here."""
         lenders = self.lender_count(now)
         if shares.home:
@@ -297,6 +316,10 @@
             )
         share = min(1.0, lenders / max(1, daemons))
         least = 1.0 if share >= _LEAST_WHOLE_SHARE else 0.0
+        if lenders <= 1:
+            # Guards against refusing all requests at a daemon that reaches no other one.
+            most_alone = _most_of_one_daemon(shares, daemons)
+            least = max(least, most_alone, math.floor(most_alone + self._rounding_of(tenant)))
         return max(least, shares.pooled * share)
 
     def _forget_lenders(self, now: float) -> None:
@@ -355,7 +378,9 @@
     def take(self, shares: QuotaShares, daemons: int, now: float) -> bool:
         """Take a token of the daemon's equal part; tell whether there was one."""
         part = 1.0 / max(1, daemons)
-        most = math.floor(shares.pooled * part + self._rounding)
+        # A daemon without a keeper has no seconds left to lend, so that their room is free.
+        room = max(shares.pooled, shares.rate * _LONGEST_LOAN_SECONDS)
+        most = math.floor(room * part + self._rounding)
         earned = (now - self._earned_at) * shares.rate * part
         self._tokens = min(self._tokens + earned, most)
         self._earned_at = now
--- a/tests/test_quota_exchange.py
+++ b/tests/test_quota_exchange.py
@@ -246,6 +246,30 @@
     play(scenario())
 
 
+def test_a_daemon_that_reaches_no_other_one_admits_its_equal_part() -> None:
+    """Guards against a pool with one lender that never holds a whole token.
+
+    Of 120 requests a second 24 daemons may admit 5 each. Of 8 daemons cut off, four admitted none.
+    """
+
+    async def scenario() -> None:
+        tenant = Tenant("t", rate=120.0, burst=20.0)
+        fleet = Fleet(tenant)
+        await asyncio.sleep(1.5)
+        cut_off = [each for each in fleet.records if each.region == "north"]
+        fleet.network.cut = {each.peer_address for each in cut_off}
+        names = [each.instance for each in cut_off]
+        loads = (fleet.load(16.0, 6.0, lambda name=name: name) for name in names)
+        admitted = [times for times, _ in await asyncio.gather(*loads)]
+        fleet.close()
+        assert most_in_a_window([each for times in admitted for each in times]) <= allowed(tenant)
+        equal_part = tenant.rate * 6.0 / len(fleet.records)
+        counts = [len(times) for times in admitted]
+        assert min(counts) >= 0.5 * equal_part, counts
+
+    play(scenario())
+
+
 def test_requests_at_a_keeper_that_falls_silent_wait_for_a_moment_and_the_next_one_serves() -> None:
     async def scenario() -> None:
         fleet = Fleet(Tenant("t", rate=100.0, burst=100.0))
--- a/tests/test_quota_model.py
+++ b/tests/test_quota_model.py
@@ -38,7 +38,7 @@
 
     def restart(self, now: float) -> None:
         self.lent = LentTime(now)
-        self.pool = QuotaPool()
+        self.pool = QuotaPool(lambda _tenant: self.rounding)
         self.stock = QuotaStock(self.rounding)
         self.earnings: OwnEarnings | None = None
 
