Never leave signals at their default action

SIGHUP ended kitekeeld at once while it served or stopped. A repeated SIGTERM ended kitekeeld at the end of its stop (handlers are reset as the interpreter ends) and a gateway in 1 of 8 stops (removing the event loop's handler restores the default action until the next statement). A stop signal during the loading of modules ended either program. The handler of kitekeeld set an event, whose lock its own thread may hold: signalled there the process never returned, nor could SIGTERM end it.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/main.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/main.py
@@ -10,7 +10,7 @@
 
 from kitekeel_daemon.daemon import Daemon
 from kitekeel_daemon.planned_stop import PlannedStop
-from kitekeel_daemon.process_signals import heed_stop_signals, wait_for_stop
+from kitekeel_daemon.process_signals import StopSignals
 from kitekeel_steering.errors import KitekeelError
 from kitekeel_steering.findings import FindingsError
 from kitekeel_steering.settings import Settings, parse_settings
@@ -48,14 +48,15 @@
         settings: checked settings.
         daemon_type: a subclass that replaces some of the wiring.
     """
+    signals = StopSignals()
+    # Before the start: a stop that comes while it joins is carried out as planned after it.
+    signals.listen()
     try:
         daemon = daemon_type(settings)
-        # Before the start: a stop that comes while it joins is carried out as planned after it.
-        heed_stop_signals(daemon.stop_requested)
         daemon.start()
     except (KitekeelError, OSError) as error:
         print(f"cannot start: {error}", file=sys.stderr)
         return _EXIT_FAILED
-    wait_for_stop(daemon.stop_requested)
+    signals.wait(daemon.stop_requested)
     PlannedStop(daemon).run()
     return 0
--- a/packages/kitekeel-lab/src/kitekeel_lab/cli.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/cli.py
@@ -11,7 +11,7 @@
 import defopt
 import msgspec
 
-from kitekeel_daemon.process_signals import heed_stop_signals, wait_for_stop
+from kitekeel_daemon.process_signals import StopSignals
 from kitekeel_lab.back_end_messages import BackEndSpec
 from kitekeel_lab.back_end_server import serve_back_ends
 from kitekeel_lab.bench import measure_lookup, measure_overhead
@@ -194,10 +194,10 @@
 
 
 def _serve_until_told(start: Callable[[], _Stoppable]) -> int:
-    told = threading.Event()
-    heed_stop_signals(told)
+    signals = StopSignals()
+    signals.listen()
     server = start()
-    wait_for_stop(told)
+    signals.wait(threading.Event())
     server.stop()
     return 0
 
--- a/tests/test_process_stop.py
+++ b/tests/test_process_stop.py
@@ -21,11 +21,11 @@
 from pathlib import Path
 
 import pytest
+from lone_daemon import LoneDaemon
 from loopback import free_address
 from soak_daemon import STOP_SECONDS, SoakDaemon
 
 from kitekeel_lab.child_process import start_python
-from kitekeel_lab.deployment import DaemonSpec, settings_text
 
 # Of the start of a daemon that can reach neither the platform nor others.
 _START_SECONDS = 15.0
@@ -51,29 +51,6 @@
 """
 
 
-class LoneDaemon:
-    """A kitekeeld without a platform or others."""
-
-    def __init__(self, folder: Path) -> None:
-        self._log = folder / "d1.log"
-        self._settings = folder / "d1.ini"
-        spec = DaemonSpec("d1", "north", "n1", 1, free_address(), free_address(), free_address())
-        self._settings.write_text(settings_text(spec, free_address(), [], None))
-
-    def start(self, arguments: list[str]) -> subprocess.Popen[bytes]:
-        with self._log.open("wb") as log:
-            return start_python([*arguments, str(self._settings)], log)
-
-    def has_logged(self, message_type: str) -> bool:
-        return f'"{message_type}"' in self._log.read_text()
-
-    def wait_logged(self, message_type: str, seconds: float) -> bool:
-        deadline = time.monotonic() + seconds
-        while not self.has_logged(message_type) and time.monotonic() < deadline:
-            time.sleep(0.02)
-        return self.has_logged(message_type)
-
-
 def wait_until_caught(process: subprocess.Popen[bytes], number: signal.Signals) -> bool:
     """Wait until a process has a handler for a signal; tell whether it had in time."""
     deadline = time.monotonic() + _START_SECONDS
