--- a/tests/test_gateway_connections.py
+++ b/tests/test_gateway_connections.py
@@ -382,3 +382,28 @@
         assert listener.open_connections() == 0
 
     asyncio.run(run())
+
+
+def test_a_stop_answers_requests_that_the_loop_has_not_read() -> None:
+    """Guards against closing connections on which a request arrived while the loop was busy."""
+
+    async def run() -> None:
+        listener, address = await listen(echo)
+        host, port = address.split(":")
+        request = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+        kept_reader, kept_writer = await connect(address)
+        kept_writer.write(request)
+        await read_head(kept_reader)
+        # From here to the stop nothing is awaited, as in a loop that is busy with something else.
+        fresh = socket.create_connection((host, int(port)))
+        fresh.sendall(request)
+        kept_writer.write(request)
+        listener.announce_stop()
+        listener.stop_accepting()
+        fresh_reader, _ = await asyncio.open_connection(sock=fresh)
+        for reader in (kept_reader, fresh_reader):
+            head = await asyncio.wait_for(read_head(reader), 3.0)
+            assert head.startswith("HTTP/1.1 200") and "Connection: close" in head
+        assert await asyncio.wait_for(kept_reader.read(), 0.2) == b""
+
+    asyncio.run(run())
