--- a/tests/test_gateway_connections.py
+++ b/tests/test_gateway_connections.py
@@ -6,6 +6,7 @@
 import asyncio
 import socket
 import struct
+import time
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -245,6 +246,24 @@
     asyncio.run(run())
 
 
+def test_a_loop_that_is_held_while_it_connects_does_not_fail_the_back_end() -> None:
+    """Guards against taking a pause of the own event loop for a back end out of reach."""
+
+    async def run() -> None:
+        async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await read_head(reader)
+            writer.write(reply("r1", "whole"))
+
+        address = await serve(script)
+        pool = ConnectionPool(0.2)
+        asking = asyncio.create_task(ask(pool, address, "r1"))
+        loop = asyncio.get_running_loop()
+        loop.call_soon(lambda: loop.call_soon(time.sleep, 0.5))
+        assert (await asyncio.wait_for(asking, 3.0)).body.start == b"whole"
+
+    asyncio.run(run())
+
+
 async def listen(handler: Handler, limits: CallerLimits | None = None) -> tuple[HttpListener, str]:
     address = free_address()
     listener = HttpListener(address, handler, lambda: limits or CallerLimits())
