Answer every request that has arrived when kitekeeld's server stops

Connections waiting to be accepted were reset with the listening socket, and one that found the workers' queue full was dropped.

The stop now follows the connections and not the moments: until the idle ones are closed returned ones join them, afterwards the worker that returns one serves what has arrived itself; what the kernel has established is accepted before the socket is closed; and whatever is left in a queue when the workers have ended is served. The lab's platform and back ends use the same server.

--- a/packages/kitekeel-callers/src/kitekeel_callers/front.py
+++ b/packages/kitekeel-callers/src/kitekeel_callers/front.py
@@ -11,9 +11,9 @@
 from kitekeel_callers.answers import json_answer
 from kitekeel_callers.arrival import ArrivalGateway
 from kitekeel_callers.caller_request import SERVICE_PREFIX, Environment
+from kitekeel_callers.draining_server import DrainingServer
 from kitekeel_callers.entries import ENTRIES_PATH, EntryLookups
 from kitekeel_callers.intake import Intake, StartResponse
-from kitekeel_callers.kept_connection import KeptConnection, KeptConnectionServer
 from kitekeel_steering.ini import is_address
 
 _SERVER_NAME = "kitekeel"
@@ -64,18 +64,17 @@
         if not is_address(address):
             raise ValueError(f"'{address}' is not IP:port")
         host, _, port = address.rpartition(":")
-        self._server = KeptConnectionServer(
+        self._server = DrainingServer(
             (host.strip("[]"), int(port)),
             application,
-            numthreads=limits.threads,
-            server_name=_SERVER_NAME,
-            request_queue_size=_BACKLOG,
-            timeout=limits.idle_timeout_seconds,
+            threads=limits.threads,
             accepted_queue_size=limits.queued_connections,
             accepted_queue_timeout=1,
+            backlog=_BACKLOG,
+            idle_timeout=limits.idle_timeout_seconds,
+            server_name=_SERVER_NAME,
         )
         self._server.gateway = ArrivalGateway
-        self._server.ConnectionClass = KeptConnection
         self._server.max_request_header_size = limits.largest_header
         self._server.max_request_body_size = limits.largest_body
         self._server.shutdown_timeout = 1
--- a/packages/kitekeel-callers/src/kitekeel_callers/kept_connection.py
+++ b/packages/kitekeel-callers/src/kitekeel_callers/kept_connection.py
@@ -5,8 +5,6 @@
 import select
 import socket
 
-from cheroot import wsgi
-from cheroot.connections import ConnectionManager
 from cheroot.server import HTTPConnection
 
 
@@ -29,14 +27,16 @@
 
     def close(self) -> None:
         """Close the connection, or have it served once more."""
-        if self._is_idle and self._has_request():
+        if self._is_idle and self.has_request():
             self._is_idle = False
             self.server.process_conn(self)
             return
         super().close()
 
-    def _has_request(self) -> bool:
+    def has_request(self) -> bool:
         """Look without waiting; reading a socket that has a time-out would wait for that long."""
+        if self.rfile.has_data():
+            return True
         watch = select.poll()
         watch.register(self.socket, select.POLLIN)
         if not watch.poll(0):
@@ -46,21 +46,3 @@
         except OSError:
             # The caller has reset the connection: there is nothing to serve.
             return False
-
-
-class KeptConnectionServer(wsgi.Server):
-    """CherryPy's server, keeping connections open when their responses end during shutdown.
-
-    The library closes such a connection immediately and drops any request already sent on it.
-    """
-
-    # Set by prepare().
-    _connections: ConnectionManager
-
-    def put_conn(self, conn: HTTPConnection) -> None:
-        """Return a connection to the idle ones, even during shutdown."""
-        try:
-            self._connections.put(conn)
-        except ValueError:
-            # The selector is closed: shutdown has already closed the idle connections.
-            conn.close()
