Run a daemon's loops until its last requests are answered

The end of a planned stop ended the loops first and the callers' server afterwards, which still answers requests that have arrived. One that needed a slot waited for an exchange that nobody carried out any more, and was refused at its deadline. Found by reading; the new test failed before.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/daemon.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/daemon.py
@@ -102,8 +102,9 @@
 
     def stop_loops(self) -> None:
         """End all loops and servers."""
-        self._stop_loops.set()
+        # Requests that arrived last still need what the loops exchange, such as slots.
         self.caller_server.stop()
+        self._stop_loops.set()
         self.operator_server.stop()
         self.peer_server.stop()
         self.peer_client.close()
--- a/tests/test_server_stop.py
+++ b/tests/test_server_stop.py
@@ -13,6 +13,9 @@
 from kitekeel_callers.front import HttpServer, ServerLimits
 from kitekeel_callers.intake import StartResponse
 from kitekeel_callers.kept_connection import KeptConnection
+from kitekeel_daemon.daemon import Daemon
+from kitekeel_lab.deployment import DaemonSpec, settings_text
+from kitekeel_steering.settings import parse_settings
 
 _CALLERS = 8
 # Longer than the server waits for room in its queue.
@@ -154,3 +157,19 @@
     results = [read_answer(each) for each in connections]
     stopping.join(10.0)
     assert results == ["ok"] * len(connections)
+
+
+def test_the_loops_of_a_daemon_run_until_its_last_requests_are_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against requests that wait for slots which nobody exchanges any more."""
+    spec = DaemonSpec("d1", "north", "n1", 1, free_address(), free_address(), free_address())
+    daemon = Daemon(parse_settings(settings_text(spec, free_address(), [], None)))
+    had_ended: list[bool] = []
+    monkeypatch.setattr(
+        daemon.caller_server, "stop", lambda: had_ended.append(daemon._stop_loops.is_set())
+    )
+    monkeypatch.setattr(daemon.operator_server, "stop", lambda: None)
+    daemon.stop_loops()
+    assert had_ended == [False]
+    assert daemon._stop_loops.is_set()
