--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,9 @@
 """What holds for all tests: one commit has one verdict, whatever ran before."""
 
-from collections.abc import Iterator
+import json
+from collections import deque
+from collections.abc import Generator, Iterator
+from typing import Any
 
 import eliot
 import pytest
@@ -10,9 +13,26 @@
 settings.register_profile("same-each-time", derandomize=True, database=None, deadline=None)
 settings.load_profile("same-each-time")
 
+_MOST_LINES_SHOWN = 2000
+_last_lines: deque[dict[str, Any]] = deque(maxlen=_MOST_LINES_SHOWN)
+
 # Without any destination eliot keeps up to 1,000 messages and hands them to the first one that is
 # added, so that a test of lines would be told those of the tests before it.
-eliot.add_destinations(lambda _message: None)
+eliot.add_destinations(_last_lines.append)
+
+
+@pytest.hookimpl(hookwrapper=True)
+def pytest_runtest_makereport(
+    item: pytest.Item, call: pytest.CallInfo[None]
+) -> Generator[None, Any, None]:
+    """Show what the daemons of a failed test have logged."""
+    result = yield
+    report = result.get_result()
+    if call.when == "setup":
+        _last_lines.clear()
+    if report.failed and _last_lines:
+        text = "\n".join(json.dumps(each, default=str) for each in _last_lines)
+        report.sections.append(("Log lines", text))
 
 
 @pytest.fixture
