--- a/packages/kitekeel-callers/src/kitekeel_callers/front.py
+++ b/packages/kitekeel-callers/src/kitekeel_callers/front.py
@@ -67,12 +67,12 @@
         self._server = DrainingServer(
             (host.strip("[]"), int(port)),
             application,
-            threads=limits.threads,
+            numthreads=limits.threads,
+            server_name=_SERVER_NAME,
+            request_queue_size=_BACKLOG,
+            timeout=limits.idle_timeout_seconds,
             accepted_queue_size=limits.queued_connections,
             accepted_queue_timeout=1,
-            backlog=_BACKLOG,
-            idle_timeout=limits.idle_timeout_seconds,
-            server_name=_SERVER_NAME,
         )
         self._server.gateway = ArrivalGateway
         self._server.max_request_header_size = limits.largest_header
