--- a/tests/limited_back_ends.py
+++ b/tests/limited_back_ends.py
@@ -13,8 +13,6 @@
 # Grace period after the first answer with a limit before the gateway must enforce it.
 KNOWN_AFTER_SECONDS = 0.5
 SERVICE_SECONDS = 0.05
-_STALL_CHECK_SECONDS = 0.01
-_LEAST_STALL_SECONDS = 0.02
 
 
 def allowed(rate: float) -> float:
@@ -65,13 +63,6 @@
         return sum(begin <= at < end for at, _ in self.arrivals) / (end - begin)
 
 
-class _Stall(msgspec.Struct, frozen=True):
-    """A delay of an event loop timer, shortened by the CPU time that the process used."""
-
-    begin: float
-    end: float
-
-
 class CallerOutcome(msgspec.Struct, frozen=True):
     """The outcome of one request."""
 
@@ -92,13 +83,11 @@
         self._random = random.Random(seed)
         self._keys = keys
         self.answers: list[CallerOutcome] = []
-        self._stalls: list[_Stall] = []
 
     async def run(self, seconds: float, is_usable: Callable[[str], bool] = lambda _: True) -> None:
         """Send requests for a number of seconds, and wait for all answers."""
         end = time.monotonic() + seconds
         tasks: list[asyncio.Task[None]] = []
-        stall_monitor = asyncio.create_task(self._record_stalls())
         number = len(self.answers)
         next_at = time.monotonic()
         while next_at < end:
@@ -108,7 +97,6 @@
             tasks.append(asyncio.create_task(self._ask(gateway, number)))
             next_at += self._random.expovariate(self._per_second)
         await asyncio.gather(*tasks)
-        stall_monitor.cancel()
 
     async def _ask(self, gateway: RunningGateway, number: int) -> None:
         sent_at = time.monotonic()
@@ -130,31 +118,6 @@
         return dict(found)
 
     def fraction_in_time(self, seconds: float) -> float:
-        """Return the fraction of requests served within a number of seconds.
-
-        Event loop stalls are subtracted from a request's time, so that waiting for the CPU
-        on a busy machine does not count as a slow answer. CPU time of the process itself is
-        not subtracted, so computation that blocks the event loop still counts.
-        """
-        served = sum(
-            each.status == 200 and each.seconds - self._stalled_seconds(each) <= seconds
-            for each in self.answers
-        )
+        """Return the fraction of requests served within a number of seconds."""
+        served = sum(each.status == 200 and each.seconds <= seconds for each in self.answers)
         return served / len(self.answers)
-
-    def _stalled_seconds(self, answer: CallerOutcome) -> float:
-        end = answer.sent_at + answer.seconds
-        return sum(
-            max(0.0, min(end, stall.end) - max(answer.sent_at, stall.begin))
-            for stall in self._stalls
-        )
-
-    async def _record_stalls(self) -> None:
-        while True:
-            due_at = time.monotonic() + _STALL_CHECK_SECONDS
-            cpu_begin = time.process_time()
-            await asyncio.sleep(_STALL_CHECK_SECONDS)
-            cpu_seconds = time.process_time() - cpu_begin
-            end = time.monotonic() - cpu_seconds
-            if end - due_at > _LEAST_STALL_SECONDS:
-                self._stalls.append(_Stall(due_at, end))
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -17,8 +17,6 @@
 LONGEST_JOIN_SECONDS = 12.0
 LONGEST_REFUSAL_SECONDS = 1.0
 LONGEST_PROPAGATION_SECONDS = 5.0
-# Keeps a loaded machine, which also slows unrouted requests, from failing the refusal test.
-MAX_UNROUTED_RATIO = 3.0
 
 
 async def gateways(store: MemoryStore) -> list[RunningGateway]:
@@ -179,10 +177,8 @@
         for number in range(20):
             await ask(running[0].callers, "/safe/x", f"warm-{number}", key=str(number))
         assert await until(lambda: limits(running, "b0") == limits(running, "b1") == {2.0}, 2.0)
-        unrouted_seconds, unrouted = await ask_concurrently(running, "/none/x", "n")
-        assert {status for status, _, _ in unrouted} == {404}
         refusal_seconds, answers = await ask_concurrently(running, "/unsafe/x", "r")
-        assert refusal_seconds < max(LONGEST_REFUSAL_SECONDS, MAX_UNROUTED_RATIO * unrouted_seconds)
+        assert refusal_seconds < LONGEST_REFUSAL_SECONDS
         ran = {each for back_end in back_ends for each in back_end.ran}
         refused = [number for number, each in enumerate(answers) if each[0] == 503]
         assert len(refused) >= 40
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -183,8 +183,7 @@
     server.start()
     results: list[str] = []
     try:
-        # The server looks once in half a second; on a loaded machine it is late.
-        ask_twice(address, _IDLE_SECONDS + 4.0, results)
+        ask_twice(address, _IDLE_SECONDS + 1.2, results)
     finally:
         server.stop()
     assert results == ["closed before"]
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -182,8 +182,8 @@
         first.seconds = 20.0
         second.seconds = 0.0
         asking: dict[str, asyncio.Task[tuple[int, dict[str, str], str]]] = {}
+        asked_at = time.monotonic()
         for number in range(30):
-            asked_at = time.monotonic()
             for route in ("unsafe", "safe"):
                 request_id = f"{route}{number}"
                 asking[request_id] = asyncio.create_task(
--- a/tests/test_peer_fuzz.py
+++ b/tests/test_peer_fuzz.py
@@ -12,7 +12,7 @@
 import msgspec
 import pytest
 from gateway_stand_ins import RunningGateway, ask, fleet, play
-from hypothesis import HealthCheck, given, settings
+from hypothesis import given, settings
 from hypothesis import strategies as st
 from loopback import free_address
 from message_strategies import values_of
@@ -46,10 +46,8 @@
 SECRET = (("kitekeel-secret", "a-secret-for-the-tests"),)
 TIMEOUT_SECONDS = 5.0
 EXAMPLES = 150
-# A call takes some milliseconds, and a thousand times as long on a machine that is busy otherwise.
-LONGEST_SECONDS = 4.0
-# A daemon may say that it is too busy, and is asked again.
-MOST_TRIES = 20
+# A call on one machine takes some milliseconds; far more would hold up the others' heartbeats.
+LONGEST_SECONDS = 1.0
 # Codes that say that the message was taken, could not be read, or cannot be followed.
 TOLD_CODES = {
     grpc.StatusCode.OK,
@@ -57,9 +55,6 @@
     grpc.StatusCode.FAILED_PRECONDITION,
 }
 
-# Drawing nested messages is slow on a busy machine; that says nothing of the daemon.
-fuzz = settings(max_examples=EXAMPLES, suppress_health_check=[HealthCheck.too_slow])
-
 Tell = Callable[[bytes], grpc.StatusCode]
 
 
@@ -83,24 +78,20 @@
 
 
 def code_of(call: grpc.UnaryUnaryMultiCallable, payload: bytes) -> grpc.StatusCode:
-    for _ in range(MOST_TRIES):
-        begin = time.monotonic()
-        try:
-            call(payload, timeout=TIMEOUT_SECONDS, metadata=SECRET)
-        except grpc.RpcError as error:
-            if "too busy" not in str(error.details()):
-                return error.code()
-        else:
-            return grpc.StatusCode.OK
-        finally:
-            assert time.monotonic() - begin < LONGEST_SECONDS
-    return grpc.StatusCode.UNAVAILABLE
+    begin = time.monotonic()
+    try:
+        call(payload, timeout=TIMEOUT_SECONDS, metadata=SECRET)
+    except grpc.RpcError as error:
+        return error.code()
+    finally:
+        assert time.monotonic() - begin < LONGEST_SECONDS
+    return grpc.StatusCode.OK
 
 
 @pytest.mark.parametrize("method", MESSAGES)
 def test_impossible_values_are_answered_or_refused(method: str) -> None:
     def check(tell: Tell) -> None:
-        @fuzz
+        @settings(max_examples=EXAMPLES)
         @given(values_of(MESSAGES[method]))
         def send(message: msgspec.Struct) -> None:
             assert tell(msgspec.msgpack.encode(message)) in TOLD_CODES
@@ -113,7 +104,7 @@
 @pytest.mark.parametrize("method", MESSAGES)
 def test_spoilt_bytes_are_answered_or_refused(method: str) -> None:
     def check(tell: Tell) -> None:
-        @fuzz
+        @settings(max_examples=EXAMPLES)
         @given(values_of(MESSAGES[method]), st.data())
         def send(message: msgspec.Struct, data: st.DataObject) -> None:
             good = msgspec.msgpack.encode(message)
