--- a/packages/kitekeel-steering/src/kitekeel_steering/tenant_quota.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/tenant_quota.py
@@ -378,9 +378,7 @@
     def take(self, shares: QuotaShares, daemons: int, now: float) -> bool:
         """Take a token of the daemon's equal part; tell whether there was one."""
         part = 1.0 / max(1, daemons)
-        # A daemon without a keeper has no seconds left to lend, so that their room is free.
-        room = max(shares.pooled, shares.rate * _LONGEST_LOAN_SECONDS)
-        most = math.floor(room * part + self._rounding)
+        most = math.floor(_most_of_one_daemon(shares, daemons) + self._rounding)
         earned = (now - self._earned_at) * shares.rate * part
         self._tokens = min(self._tokens + earned, most)
         self._earned_at = now
--- a/tests/soak/soak_daemon.py
+++ b/tests/soak/soak_daemon.py
@@ -1,9 +1,11 @@
 """A daemon of the soak: the real program as a process of its own, and its signals."""
 
 import asyncio
+import contextlib
 import os
 import signal
 import subprocess
+from collections.abc import Iterator
 from pathlib import Path
 
 from gateway_settings_text import GatewayAddresses, gateway_settings_text
@@ -121,3 +123,15 @@
     @property
     def _settings_file(self) -> Path:
         return self._folder / f"{self.name}.ini"
+
+
+@contextlib.contextmanager
+def lone_gateway(folder: Path) -> Iterator[SoakDaemon]:
+    """Start a gateway without a store or others; it is gone afterwards."""
+    gateway = SoakDaemon("g0", "n1", folder)
+    gateway.write_settings([], free_address())
+    gateway.start(0.0)
+    try:
+        yield gateway
+    finally:
+        gateway.send(signal.SIGKILL, 0.0)
--- a/tests/soak/test_gateway_soak.py
+++ b/tests/soak/test_gateway_soak.py
@@ -1,16 +1,13 @@
 """A short soak of real processes, and the regression cases that soaks have found."""
 
 import asyncio
-import contextlib
 import signal
 import time
-from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 from gateway_soak import soak
-from loopback import free_address
-from soak_daemon import STOP_SECONDS, SoakDaemon
+from soak_daemon import STOP_SECONDS, lone_gateway
 
 _STARTED_SECONDS = 5.0
 
@@ -45,20 +42,8 @@
     assert not report.breaches, (report.breaches, report.faults)
 
 
-@contextlib.contextmanager
-def starting_daemon(folder: Path) -> Iterator[SoakDaemon]:
-    """Start a daemon without a store or others; it is gone afterwards."""
-    daemon = SoakDaemon("g0", "n1", folder)
-    daemon.write_settings([], free_address())
-    daemon.start(0.0)
-    try:
-        yield daemon
-    finally:
-        daemon.send(signal.SIGKILL, 0.0)
-
-
 def test_a_request_to_reload_while_a_daemon_starts_does_not_end_it(tmp_path: Path) -> None:
-    with starting_daemon(tmp_path) as daemon:
+    with lone_gateway(tmp_path) as daemon:
         deadline = time.monotonic() + _STARTED_SECONDS
         while not daemon.heeds_reload() and time.monotonic() < deadline:
             time.sleep(0.005)
@@ -70,7 +55,7 @@
 
 def test_a_request_to_reload_while_a_daemon_ends_does_not_cut_its_end(tmp_path: Path) -> None:
     """Found by seed 312; it is not among the seeds above, since it fails only with luck."""
-    with starting_daemon(tmp_path) as daemon:
+    with lone_gateway(tmp_path) as daemon:
         deadline = time.monotonic() + _STARTED_SECONDS
         while not daemon.has_logged("daemon-started") and time.monotonic() < deadline:
             time.sleep(0.01)
--- a/tests/test_process_signals.py
+++ b/tests/test_process_signals.py
@@ -11,8 +11,7 @@
 
 import pytest
 from lone_daemon import LoneDaemon
-from loopback import free_address
-from soak_daemon import STOP_SECONDS, SoakDaemon
+from soak_daemon import STOP_SECONDS, lone_gateway
 
 _START_SECONDS = 15.0
 _LEAVE_SECONDS = 15.0
@@ -55,17 +54,6 @@
         process.wait()
 
 
-@contextlib.contextmanager
-def lone_gateway(folder: Path) -> Iterator[SoakDaemon]:
-    gateway = SoakDaemon("g0", "n1", folder)
-    gateway.write_settings([], free_address())
-    gateway.start(0.0)
-    try:
-        yield gateway
-    finally:
-        gateway.send(signal.SIGKILL, 0.0)
-
-
 def send_until_ended(process: subprocess.Popen[bytes], number: signal.Signals) -> int | None:
     """Send a signal each millisecond while a process runs; return its exit status."""
     deadline = time.monotonic() + _LEAVE_SECONDS
--- a/tests/test_retried_slots.py
+++ b/tests/test_retried_slots.py
@@ -41,14 +41,21 @@
         return self.admission.waiting().get(CLASS, 0)
 
 
-def test_a_retry_is_not_refused_for_a_full_queue_and_is_served_before_later_requests() -> None:
-    queue = SingleSlotQueue()
+def retry_behind_a_full_queue(
+    queue: SingleSlotQueue,
+) -> tuple[SlotHold, Future[SlotHold], Future[SlotHold]]:
+    """Return the slot in use, a request in the only waiting place, and a retry behind it."""
     first = queue.admission.acquire(CLASS, DEADLINE)
     second = queue.submit()
     queue.admission.release(first)
     second_hold = second.result(LONGEST_SECONDS)
     third = queue.submit()
-    retry = queue.submit(again=first)
+    return second_hold, third, queue.submit(again=first)
+
+
+def test_a_retry_is_not_refused_for_a_full_queue_and_is_served_before_later_requests() -> None:
+    queue = SingleSlotQueue()
+    second_hold, third, retry = retry_behind_a_full_queue(queue)
     queue.admission.release(second_hold)
     retried_hold = retry.result(LONGEST_SECONDS)
     assert not third.done()
@@ -58,12 +65,7 @@
 
 def test_a_new_request_is_refused_at_once_while_a_retry_exceeds_the_waiting_places() -> None:
     queue = SingleSlotQueue()
-    first = queue.admission.acquire(CLASS, DEADLINE)
-    second = queue.submit()
-    queue.admission.release(first)
-    second_hold = second.result(LONGEST_SECONDS)
-    third = queue.submit()
-    retry = queue.submit(again=first)
+    second_hold, third, retry = retry_behind_a_full_queue(queue)
     with pytest.raises(QueueFullError):
         queue.admission.acquire(CLASS, DEADLINE)
     for each in (second_hold, retry, third):
