Log what back ends say of themselves in their answers

The head of each answer is now read as soon as it has arrived, whatever becomes of the rest. A line and a counter tell when a process is first known to leave or to ask for a pause, from which answer, through which relay, until when; values that cannot be read get a counter and one line. A 421, or an answer that names another instance, is taken for the word of the back end that is registered at the address. Nothing is decided by it yet.

--- /dev/null
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/announcement_reader.py
@@ -0,0 +1,157 @@
+"""Reads what back ends announce about themselves in the heads of their answers.
+
+A back end announces that it is about to stop, or requests a pause with status 503 and
+``Retry-After``. Each head is read as soon as it arrives, before the rest of the answer.
+"""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+
+import msgspec
+
+from kitekeel_daemon.answer_headers import ParsedBackoff, read_backoff, read_leaving
+from kitekeel_daemon.decision_log import DecisionLog
+from kitekeel_daemon.gateway_metrics import GatewayMetrics
+from kitekeel_steering.clock import Clock
+from kitekeel_steering.fleet_items import BackEndRecord
+from kitekeel_steering.fleet_view import FleetView
+from kitekeel_steering.log_messages import (
+    BackEndAnnouncementUnreadable,
+    BackEndBackoffStarted,
+    BackEndLeaving,
+)
+from kitekeel_steering.proxied_messages import (
+    RETRY_AFTER,
+    HeaderNames,
+    RawHeaders,
+    find_header,
+    find_headers,
+)
+
+OWN = "own"
+_MAX_LOGGED_BYTES = 200
+_MAX_LOGGED_PROCESSES = 1_000
+
+
+class AnswerHead(msgspec.Struct, frozen=True):
+    """The head of an answer, and how it was obtained.
+
+    Attributes:
+        dialled: the back end that the request was sent to.
+        request_id: the request that was answered.
+        sent_at: monotonic time at which it was sent, in seconds.
+        relay: the daemon through which the connection leads; empty if it is direct.
+    """
+
+    dialled: BackEndRecord
+    status: int
+    headers: RawHeaders
+    request_id: str = ""
+    sent_at: float = 0.0
+    relay: str = ""
+
+
+class AnnouncementReader:
+    """Reads the heads of answers; used on one event loop."""
+
+    def __init__(
+        self,
+        view: FleetView,
+        names: HeaderNames,
+        clock: Clock,
+        metrics: GatewayMetrics,
+        log: DecisionLog,
+    ) -> None:
+        self._view = view
+        self._names = names
+        self._clock = clock
+        self._metrics = metrics
+        self._log = log
+        self._logged_unreadable: set[tuple[str, bytes]] = set()
+        self._leaving: set[tuple[str, int]] = set()
+        self._backoff_ends: dict[tuple[str, int], float] = {}
+
+    def read(self, head: AnswerHead) -> None:
+        """Read the announcements in the head of an answer."""
+        speaker = self._speaker(head)
+        if speaker is None:
+            return
+        self._read_leaving(head, speaker)
+        if head.status == HTTPStatus.SERVICE_UNAVAILABLE:
+            self._read_backoff(head, speaker)
+
+    def _speaker(self, head: AnswerHead) -> BackEndRecord | None:
+        """Return the back end that sent an answer, or ``None`` if it is not known.
+
+        It may be another process that has taken over the address of the one that was dialled.
+        """
+        stated = find_header(head.headers, self._names.answering_instance)
+        is_replaced = head.status == HTTPStatus.MISDIRECTED_REQUEST
+        if stated is None and not is_replaced or stated == head.dialled.instance.encode():
+            return head.dialled
+        found = [
+            each
+            for each in self._view.all_back_ends()
+            if each.address == head.dialled.address
+            and each.instance != head.dialled.instance
+            and stated in (None, each.instance.encode())
+        ]
+        return found[0] if len(found) == 1 else None
+
+    def _read_leaving(self, head: AnswerHead, speaker: BackEndRecord) -> None:
+        values = find_headers(head.headers, self._names.leaving)
+        parsed = read_leaving(values)
+        if parsed.unreadable:
+            self._note_unreadable(speaker, self._names.leaving, parsed.unreadable)
+        key = (speaker.instance, speaker.started_at_ms)
+        if not parsed.is_leaving or key in self._leaving:
+            return
+        self._leaving.add(key)
+        self._metrics.increment("back-ends.leaving-announced")
+        self._log.state(
+            BackEndLeaving(
+                speaker.instance, speaker.service, speaker.started_at_ms, OWN, head.request_id
+            )
+        )
+
+    def _read_backoff(self, head: AnswerHead, speaker: BackEndRecord) -> None:
+        parsed = read_backoff(find_headers(head.headers, RETRY_AFTER))
+        if parsed.unreadable:
+            self._note_unreadable(speaker, RETRY_AFTER, parsed.unreadable)
+        if parsed.is_shortened:
+            self._metrics.increment("back-ends.backoffs-shortened")
+        if not parsed.seconds:
+            return
+        self._metrics.increment("back-ends.backoffs-requested")
+        now = self._clock.monotonic()
+        key = (speaker.instance, speaker.started_at_ms)
+        if self._backoff_ends.get(key, now) <= now:
+            self._log_backoff(head, speaker, parsed)
+        self._backoff_ends[key] = max(self._backoff_ends.get(key, now), now + parsed.seconds)
+
+    def _log_backoff(self, head: AnswerHead, speaker: BackEndRecord, parsed: ParsedBackoff) -> None:
+        self._log.state(
+            BackEndBackoffStarted(
+                back_end=speaker.instance,
+                service=speaker.service,
+                seconds=round(parsed.seconds, 3),
+                until=round(self._clock.wall() + parsed.seconds, 3),
+                source=OWN,
+                answered=head.request_id,
+                relay=head.relay,
+            )
+        )
+
+    def _note_unreadable(
+        self, speaker: BackEndRecord, header: bytes, values: tuple[bytes, ...]
+    ) -> None:
+        self._metrics.increment("back-ends.announcements-unreadable")
+        key = (speaker.instance, header)
+        if key in self._logged_unreadable or len(self._logged_unreadable) >= _MAX_LOGGED_PROCESSES:
+            return
+        self._logged_unreadable.add(key)
+        text = b", ".join(values)[:_MAX_LOGGED_BYTES].decode("latin-1")
+        self._log.state(
+            BackEndAnnouncementUnreadable(speaker.instance, header.decode("latin-1"), text)
+        )
