Failing tests: back ends that announce their end or ask for a pause

Gateways of these tests connect to back ends from an address of their own, so that a back end counts requests by the gateway that it sees, as relayed requests count for the relaying one.

--- a/tests/partitioned_back_ends.py
+++ b/tests/partitioned_back_ends.py
@@ -5,7 +5,7 @@
 import enum
 import random
 import time
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Sequence
 from typing import Any
 
 import msgspec
@@ -77,10 +77,15 @@
         self._links: list[_Link] = []
         self._cut: Cut | None = None
         self._silenced: list[_Link] = []
+        self.local_hosts: dict[str, str] = {}
         loop: Any = asyncio.get_running_loop()
         self._create_connection = loop.create_connection
         loop.create_connection = self._connect
 
+    def _next_host(self) -> str:
+        """Return an address of its own for a gateway, by which back ends can tell it."""
+        return f"127.0.1.{len(self.local_hosts) + 1}"
+
     def begin(self, cut: Cut) -> None:
         self._cut = cut
         for link in self._links:
@@ -116,6 +121,8 @@
         **options: Any,
     ) -> tuple[asyncio.Transport, asyncio.BaseProtocol]:
         address, gateway = f"{host}:{port}", _current_gateway.get()
+        if address in self.addresses and gateway:
+            options["local_addr"] = (self.local_hosts.setdefault(gateway, self._next_host()), 0)
         while self._is_cut(gateway, address):
             assert self._cut is not None
             if self._cut.new_connections is NewConnections.REFUSED:
@@ -157,13 +164,17 @@
 class FirstTries:
     """Sends requests to random gateways, half of them repeatable, and collects the outcomes."""
 
-    def __init__(self, gateways: list[RunningGateway], per_second: float, seed: int = 5) -> None:
+    def __init__(
+        self, gateways: list[RunningGateway], per_second: float, seed: int = 5, keys: int = 40
+    ) -> None:
         self._gateways = gateways
         self._per_second = per_second
         self._random = random.Random(seed)
+        self._keys = keys
         self.tries: list[FirstTry] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._number = 0
+        self.sent_at: dict[str, float] = {}
 
     async def run(self, seconds: float) -> None:
         """Send requests for a number of seconds, without waiting for the last answers."""
@@ -182,10 +193,11 @@
 
     async def _ask(self, gateway: RunningGateway, number: int) -> None:
         route = self._random.choice(("safe", "unsafe"))
-        key = str(self._random.randrange(40))
+        key = str(self._random.randrange(self._keys))
         sent_at = time.monotonic()
         try:
             request_id = f"{route}-{number}"
+            self.sent_at[request_id] = sent_at
             status, _, _ = await ask(gateway.callers, f"/{route}/x", request_id, key=key)
         except (OSError, asyncio.IncompleteReadError):
             status = 0
@@ -214,10 +226,18 @@
     store, servers = await fleet(back_ends)
     for each in servers:
         each.seconds = 0.1
+    network, started = await start_on_network(store, servers, gateways)
+    return network, started, servers
+
+
+async def start_on_network(
+    store: MemoryStore, servers: Sequence[BackEndStandIn], gateways: int
+) -> tuple[PartitionedNetwork, list[RunningGateway]]:
+    """Start gateways of one region on a network that can be cut."""
     network = PartitionedNetwork(store, servers)
     first = await start_gateway(RunningGateway(store, "g0"))
     others = (
         start_gateway(RunningGateway(store, f"g{number}", first.peers))
         for number in range(1, gateways)
     )
-    return network, [first, *await asyncio.gather(*others)], servers
+    return network, [first, *await asyncio.gather(*others)]
