Send nothing more to back ends that announced their end in an answer

Callers' requests reached a back end up to 7.9 s after its answers had said that it leaves: nothing read the header, and a back end counted as ready until its record said otherwise, which takes as long as the store is out of reach.

What is known of a back end has one home now: BackEndStates.may_receive joins the record, evacuation, replacement and the announcement. Placement, careful tries, the check just before the first byte, the return of a connection to the pool and the relay of other gateways' connections ask it; before, the sender and the crash guard asked the view alone, which does not know of a 421 either.

An announcement belongs to one process: it outlasts the removal and return of its record, ends with a later start, and an answer of another instance or a 421 is the word of who is registered at the address. All daemons share it, since a back end sees a relayed request come from the relaying gateway, and gossip reaches that one in time. Kept connections close when their work is done. An end that was announced two seconds before is not put down to the requests that ran, and does not eject.

--- a/packages/kitekeel-backends/src/kitekeel_backends/back_end_dialer.py
+++ b/packages/kitekeel-backends/src/kitekeel_backends/back_end_dialer.py
@@ -29,6 +29,9 @@
 # A time-out that fires this late shows that the event loop was blocked, and is no evidence.
 BLOCKED_LOOP_SECONDS = 0.1
 
+_UNUSABLE = tunnel_messages.BACK_END_UNUSABLE
+_STATUSES_OF_WORKING_RELAYS = frozenset({tunnel_messages.CONNECTION_REFUSED, _UNUSABLE})
+
 MakeConnection = Callable[[], BackEndConnection]
 
 
@@ -38,6 +41,12 @@
     code = "back-end-out-of-reach"
 
 
+class BackEndUnusableError(BackEndOutOfReachError):
+    """The link to the back end is lost, and the other daemons must not send requests to it now."""
+
+    code = "back-end-unusable"
+
+
 class DialTarget(msgspec.Struct, frozen=True):
     """A back end to connect to.
 
@@ -186,6 +195,8 @@
         except TunnelRefusedError as error:
             is_refused = error.status is tunnel_messages.CONNECTION_REFUSED
             return ProcessState.GONE if is_refused else ProcessState.SILENT
+        except BackEndUnusableError:
+            return ProcessState.SILENT
         except BackEndOutOfReachError:
             is_lost = self._links.is_lost(target.back_end, target.service)
             return ProcessState.SILENT if is_lost else ProcessState.GONE
@@ -199,6 +210,7 @@
 
         Raises:
             TunnelRefusedError: other daemons did not reach the back end either.
+            BackEndUnusableError: the other daemons must not send requests to it now.
             BackEndOutOfReachError: no daemon can relay.
         """
         end = steady_seconds() + seconds
@@ -223,6 +235,8 @@
         for error in (_error_of(each) for each in attempts):
             if _is_about_back_end(error):
                 raise error
+            if isinstance(error, TunnelRefusedError) and error.status is _UNUSABLE:
+                raise BackEndUnusableError(str(error)) from error
         raise BackEndOutOfReachError(f"no daemon relays to {target.address}")
 
     def _is_refused(self, attempts: Sequence[asyncio.Task[BackEndConnection]]) -> bool:
@@ -261,7 +275,7 @@
                 relay.address, target.address, target.back_end, self._secret, make_relayed
             )
         except TunnelRefusedError as error:
-            if not _is_refused_by_back_end(error):
+            if error.status not in _STATUSES_OF_WORKING_RELAYS:
                 self._relays.note_failed(relay, target.service)
             raise
         except (OSError, ConnectFailedError) as error:
--- a/packages/kitekeel-backends/src/kitekeel_backends/tunnel_messages.py
+++ b/packages/kitekeel-backends/src/kitekeel_backends/tunnel_messages.py
@@ -20,6 +20,8 @@
 CONNECTION_REFUSED = HTTPStatus.BAD_GATEWAY
 # The back end did not answer in time; the relaying daemon may also have lost its links.
 CONNECTION_TIMED_OUT = HTTPStatus.GATEWAY_TIMEOUT
+# The relaying daemon must not send requests to the back end now.
+BACK_END_UNUSABLE = HTTPStatus.CONFLICT
 # The relaying daemon is stopping, has too many tunnels, or has lost its own links.
 NO_TUNNEL = HTTPStatus.SERVICE_UNAVAILABLE
 
--- a/packages/kitekeel-backends/src/kitekeel_backends/tunnel_relay.py
+++ b/packages/kitekeel-backends/src/kitekeel_backends/tunnel_relay.py
@@ -190,6 +190,7 @@
         address: ``IP:port`` to listen on.
         secret: shared by all daemons; requests without it are rejected.
         find_back_end: returns the record of a back end by its name.
+        may_receive: returns whether requests may be sent to a back end now.
         links: the state of this daemon's own links.
         metrics: counts tunnels.
     """
@@ -199,12 +200,14 @@
         address: str,
         secret: str,
         find_back_end: Callable[[str], BackEndRecord | None],
+        may_receive: Callable[[BackEndRecord], bool],
         links: RelayLinks,
         metrics: Metrics,
     ) -> None:
         self._address = address
         self._secret = secret.encode()
         self._find_back_end = find_back_end
+        self._may_receive = may_receive
         self._links = links
         self._metrics = metrics
         self._is_stopping = False
@@ -243,6 +246,8 @@
         record = self._find_back_end(name.decode("latin-1"))
         if record is None or record.address.encode() != request.target:
             return tunnel_messages.UNKNOWN_BACK_END
+        if not self._may_receive(record):
+            return tunnel_messages.BACK_END_UNUSABLE
         is_full = len(self.sides) > _MAX_TUNNELS
         is_lost = self._links.is_lost(record.instance, record.service)
         if self._is_stopping or is_full or is_lost:
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/announcement_reader.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/announcement_reader.py
@@ -16,10 +16,10 @@
 from kitekeel_steering.clock import Clock
 from kitekeel_steering.fleet_items import BackEndRecord
 from kitekeel_steering.fleet_view import FleetView
+from kitekeel_steering.leaving_back_ends import LeavingBackEnds
 from kitekeel_steering.log_messages import (
     BackEndAnnouncementUnreadable,
     BackEndBackoffStarted,
-    BackEndLeaving,
 )
 from kitekeel_steering.proxied_messages import (
     RETRY_AFTER,
@@ -59,6 +59,7 @@
         self,
         view: FleetView,
         names: HeaderNames,
+        leaving: LeavingBackEnds,
         clock: Clock,
         metrics: GatewayMetrics,
         log: DecisionLog,
@@ -69,7 +70,7 @@
         self._metrics = metrics
         self._log = log
         self._logged_unreadable: set[tuple[str, bytes]] = set()
-        self._leaving: set[tuple[str, int]] = set()
+        self._leaving = leaving
         self._backoff_ends: dict[tuple[str, int], float] = {}
 
     def read(self, head: AnswerHead) -> None:
@@ -104,16 +105,8 @@
         parsed = read_leaving(values)
         if parsed.unreadable:
             self._note_unreadable(speaker, self._names.leaving, parsed.unreadable)
-        key = (speaker.instance, speaker.started_at_ms)
-        if not parsed.is_leaving or key in self._leaving:
-            return
-        self._leaving.add(key)
-        self._metrics.increment("back-ends.leaving-announced")
-        self._log.state(
-            BackEndLeaving(
-                speaker.instance, speaker.service, speaker.started_at_ms, OWN, head.request_id
-            )
-        )
+        if parsed.is_leaving:
+            self._leaving.note(speaker.instance, speaker.started_at_ms, OWN, head.request_id)
 
     def _read_backoff(self, head: AnswerHead, speaker: BackEndRecord) -> None:
         parsed = read_backoff(find_headers(head.headers, RETRY_AFTER))
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/crash_guard.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/crash_guard.py
@@ -71,7 +71,13 @@
 
 
 class CrashGuard:
-    """Admits or refuses requests by this daemon's crash ledger; used on one event loop."""
+    """Admits or refuses requests by this daemon's crash ledger; used on one event loop.
+
+    Args:
+        probe: returns the state of a back end's process.
+        may_receive: returns whether requests may be sent to a back end now.
+        is_end_expected: returns whether a back end announced the end of its process beforehand.
+    """
 
     def __init__(
         self,
@@ -81,7 +87,11 @@
         metrics: GatewayMetrics,
         log: DecisionLog,
         probe: ProcessProbe,
+        may_receive: Callable[[BackEndRecord], bool],
+        is_end_expected: Callable[[BackEndRecord], bool],
     ) -> None:
+        self._may_receive = may_receive
+        self._is_end_expected = is_end_expected
         self._view = view
         self._names = names
         self._metrics = metrics
@@ -165,6 +175,9 @@
         self.ledger.note_answered(identify(request, self._names))
 
     def _on_end(self, identity: str, record: BackEndRecord) -> None:
+        if self._is_end_expected(record):
+            self._metrics.increment("crashes.ends-announced")
+            return
         process = f"{record.instance}/{record.started_at_ms}"
         self.ledger.note_end(identity, record.service, process, record.version)
 
@@ -209,7 +222,7 @@
         if record is None or identity in self._claims or self._store_sync is None:
             return
         usable = [
-            each for each in self._view.back_ends(service).values() if self._view.may_receive(each)
+            each for each in self._view.back_ends(service).values() if self._may_receive(each)
         ]
         if len(usable) < _MIN_BACK_ENDS_FOR_TRY:
             return
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/departures.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/departures.py
@@ -11,7 +11,7 @@
 
 from kitekeel_daemon.gateway_metrics import GatewayMetrics
 from kitekeel_steering.clock import steady_seconds
-from kitekeel_steering.fleet_items import ItemKind
+from kitekeel_steering.fleet_items import BackEndRecord, ItemKind
 from kitekeel_steering.fleet_view import ViewChange
 
 # Number of recent departures remembered; older ones have no requests in flight any more.
@@ -39,8 +39,16 @@
             self._heard_at.pop(item.name, None)
         if not is_leaving or item.name in self._heard_at:
             return
-        self._heard_at[item.name] = change.heard_at
-        self._metrics.note_departure("believed", steady_seconds() - change.heard_at)
+        self._note(item.name, change.heard_at)
+
+    def note_leaving(self, record: BackEndRecord) -> None:
+        """Record that a back end announced its end in an answer."""
+        if record.instance not in self._heard_at:
+            self._note(record.instance, steady_seconds())
+
+    def _note(self, instance: str, heard_at: float) -> None:
+        self._heard_at[instance] = heard_at
+        self._metrics.note_departure("believed", steady_seconds() - heard_at)
         if len(self._heard_at) > _MAX_DEPARTURES:
             self._heard_at.popitem(last=False)
 
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/gateway_gauges.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/gateway_gauges.py
@@ -13,6 +13,7 @@
 from kitekeel_daemon.fleet_news import FleetNews
 from kitekeel_daemon.fleet_size import FleetSize
 from kitekeel_daemon.gateway_metrics import GatewayMetrics
+from kitekeel_daemon.leaving_tracker import LeavingTracker
 from kitekeel_daemon.request_router import RequestRouter
 from kitekeel_daemon.tenant_admission import TenantAdmission
 from kitekeel_steering.back_end_links import LinkHealth
@@ -31,6 +32,7 @@
     guard: CrashGuard
     tenants: TenantAdmission
     limiter: BackEndLimiter
+    leaving: LeavingTracker
     links: LinkHealth
     open_tunnels: Callable[[], int]
 
@@ -49,6 +51,7 @@
         ("configuration_version", "Version in force", view.configuration_version),
         ("back_ends", "Back ends known", lambda: len(view.all_back_ends())),
         ("limited_back_ends", "Back ends with a rate limit", sources.limiter.limited_back_ends),
+        ("leaving_back_ends", "Registered, but announced their end", sources.leaving.count),
         ("watches_store", "1 while it asks the store itself", lambda: follower.is_watching),
         ("subscribers", "Daemons that it tells of changes", sources.news.feed.count),
         ("evacuated_zones", "Zones evacuated", lambda: len(view.evacuated_zones)),
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -26,6 +26,7 @@
     ViewItem,
 )
 from kitekeel_steering.fleet_view import FleetView, ViewChange
+from kitekeel_steering.leaving_back_ends import LeavingBackEnds
 from kitekeel_steering.shared_limits import DaemonCount
 
 FIRST_MS, SECOND_MS = 1_783_133_796_000, 1_783_133_801_500
@@ -107,7 +108,9 @@
 
 
 def states_of(view: FleetView) -> BackEndStates:
-    return BackEndStates(view, DaemonCount(SystemClock()), {"n1": "north"}, random.Random(1))
+    clock = SystemClock()
+    leaving = LeavingBackEnds(clock, view.find_back_end, lambda *_: None)
+    return BackEndStates(view, DaemonCount(clock), {"n1": "north"}, random.Random(1), leaving)
 
 
 def test_nothing_of_the_former_process_counts_for_the_new_one() -> None:
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -14,6 +14,7 @@
 from kitekeel_backends.back_end_dialer import (
     BackEndDialer,
     BackEndOutOfReachError,
+    BackEndUnusableError,
     DialTarget,
     Relay,
 )
@@ -60,8 +61,14 @@
         self.relay_links = new_links()
         self.relay_address = free_address()
         self.records = {"b0": BackEndRecord("b0", "s", address, "z", 4)}
+        self.usable = True
         self.relay = TunnelRelay(
-            self.relay_address, SECRET, self.records.get, self.relay_links, self.metrics
+            self.relay_address,
+            SECRET,
+            self.records.get,
+            lambda _: self.usable,
+            self.relay_links,
+            self.metrics,
         )
         self.links = new_links()
         self.links.note_reached_by_peer("b0", "s")
@@ -311,6 +318,21 @@
     play(answer_each, scenario)
 
 
+def test_a_back_end_that_relays_must_not_send_to_is_neither_connected_to_nor_taken_for_gone() -> (
+    None
+):
+    async def scenario(fixture: TunnelFixture) -> None:
+        fixture.usable = False
+        with pytest.raises(BackEndUnusableError):
+            await fixture.acquire()
+        assert not fixture.relays.failed
+        gone = DialTarget(free_address(), "b0", "s", "r")
+        fixture.records["b0"] = BackEndRecord("b0", "s", gone.address, "z", 4)
+        assert await fixture.dialer.find_process_state(gone, 0.5) is ProcessState.SILENT
+
+    play(answer_each, scenario)
+
+
 def test_relayed_connections_are_replaced_after_the_links_are_restored() -> None:
     async def scenario(fixture: TunnelFixture) -> None:
         connection = await fixture.acquire()
