Send nothing to back ends during the pauses that they ask for

Back ends that turned a request away with 503 and Retry-After: 3 got up to 36 requests from one gateway in that time, and callers were refused while others were idle: Retry-After was read by nobody, and where back ends rejected with free slots the same one was even tried again for the same request.

A pause is kept per process and daemon: it outlasts the record, a shorter one does not end it, suspended time counts, it is bounded to 300 s. It joins the question that placement, repeats, careful tries, relays and the last check before the first byte ask. The policy passes over paused back ends as over those at their limit, in the fallback too: the key's next back end with a free slot serves; the share that leaves the region is bounded as for a busy first back end, unless all of the region pause. After a pause a back end gets one request at a time until it has answered one, so that no crowd returns. Such a 503 is no rejection with a free slot. Where all pause, requests are refused at once, and Retry-After tells when the first can be asked again; where others work, it is short.

A relay only copies bytes, and the back end sees its address. A daemon that is asked for a pause through a relay tells the relay, which tells the others that have tunnels through it to that back end; it opens no new ones meanwhile (409, which says nothing against the relay or the back end's process).

--- a/packages/kitekeel-backends/src/kitekeel_backends/back_end_dialer.py
+++ b/packages/kitekeel-backends/src/kitekeel_backends/back_end_dialer.py
@@ -130,11 +130,18 @@
         links: the state of this daemon's links; updated by each attempt.
         relays: chooses the daemons to connect through.
         secret: shared by all daemons.
+        daemon: this daemon's instance name.
     """
 
     def __init__(
-        self, timeout_seconds: float, links: LinkHealth, relays: RelayChoice, secret: str
+        self,
+        timeout_seconds: float,
+        links: LinkHealth,
+        relays: RelayChoice,
+        secret: str,
+        daemon: str = "",
     ) -> None:
+        self._daemon = daemon
         self._timeout_seconds = timeout_seconds
         self._links = links
         self._relays = relays
@@ -272,7 +279,12 @@
 
         try:
             return await open_tunnel(
-                relay.address, target.address, target.back_end, self._secret, make_relayed
+                relay.address,
+                target.address,
+                target.back_end,
+                self._secret,
+                make_relayed,
+                self._daemon,
             )
         except TunnelRefusedError as error:
             if error.status not in _STATUSES_OF_WORKING_RELAYS:
--- a/packages/kitekeel-backends/src/kitekeel_backends/tunnel_client.py
+++ b/packages/kitekeel-backends/src/kitekeel_backends/tunnel_client.py
@@ -69,16 +69,25 @@
     back_end: str,
     secret: str,
     make: Callable[[], BackEndConnection],
+    daemon: str = "",
 ) -> BackEndConnection:
     """Return a connection to a back end through the daemon that relays at an address.
 
+    Args:
+        relay_address: ``IP:port`` of the relaying daemon.
+        address: ``IP:port`` of the back end.
+        back_end: its instance name.
+        secret: shared by all daemons.
+        make: returns a new connection, to be used for the tunnel.
+        daemon: this daemon's instance name.
+
     Raises:
         TunnelRefusedError: the daemon did not connect to the back end.
         ConnectFailedError: the daemon gave no valid answer.
         OSError: the daemon could not be connected to.
     """
     name, _, port = relay_address.rpartition(":")
-    request = connect_request(address, back_end, secret)
+    request = connect_request(address, back_end, secret, daemon)
     loop = asyncio.get_running_loop()
     transport, handshake = await loop.create_connection(
         lambda: _Handshake(request), name, int(port)
--- a/packages/kitekeel-backends/src/kitekeel_backends/tunnel_messages.py
+++ b/packages/kitekeel-backends/src/kitekeel_backends/tunnel_messages.py
@@ -12,6 +12,7 @@
 
 SECRET_HEADER = b"kitekeel-secret"
 BACK_END_HEADER = b"kitekeel-back-end"
+DAEMON_HEADER = b"kitekeel-daemon"
 
 CONNECTED = HTTPStatus.OK
 WRONG_SECRET = HTTPStatus.FORBIDDEN
@@ -28,8 +29,8 @@
 MAX_HEAD_BYTES = 4096
 
 
-def connect_request(address: str, back_end: str, secret: str) -> h11.Request:
-    """Return the request for a tunnel to a back end at ``IP:port``."""
+def connect_request(address: str, back_end: str, secret: str, daemon: str) -> h11.Request:
+    """Return the request of a daemon for a tunnel to a back end at ``IP:port``."""
     return h11.Request(
         method=b"CONNECT",
         target=address.encode(),
@@ -37,6 +38,7 @@
             (b"Host", address.encode()),
             (SECRET_HEADER, secret.encode()),
             (BACK_END_HEADER, back_end.encode()),
+            (DAEMON_HEADER, daemon.encode()),
         ],
     )
 
--- a/packages/kitekeel-backends/src/kitekeel_backends/tunnel_relay.py
+++ b/packages/kitekeel-backends/src/kitekeel_backends/tunnel_relay.py
@@ -118,11 +118,18 @@
 
 
 class _DaemonSide(_Side):
-    """The side of a tunnel that is connected to another daemon; starts with the handshake."""
+    """The side of a tunnel that is connected to another daemon; starts with the handshake.
+
+    Attributes:
+        daemon: the other daemon's instance name; empty until the tunnel is open.
+        back_end: the back end's instance name; empty until the tunnel is open.
+    """
 
     def __init__(self, relay: TunnelRelay) -> None:
         super().__init__()
         self._relay = relay
+        self.daemon = ""
+        self.back_end = ""
         self._parser: h11.Connection | None = h11.Connection(
             h11.SERVER, max_incomplete_event_size=tunnel_messages.MAX_HEAD_BYTES
         )
@@ -231,10 +238,17 @@
         """Return the number of connections from other daemons."""
         return len(self.sides)
 
+    def daemons_connected_to(self, back_end: str) -> set[str]:
+        """Return the names of the daemons that have a tunnel to a back end."""
+        return {each.daemon for each in self.sides if each.back_end == back_end and each.daemon}
+
     async def connect(self, request: h11.Request, daemon_side: _DaemonSide) -> HTTPStatus:
         """Connect a daemon to the back end that its handshake names; return the answer's status."""
         status = await self._try_connect(request, daemon_side)
         is_open = status is tunnel_messages.CONNECTED
+        if is_open:
+            daemon_side.daemon = _text_header(request, tunnel_messages.DAEMON_HEADER)
+            daemon_side.back_end = _text_header(request, tunnel_messages.BACK_END_HEADER)
         self._metrics.increment(f"relay.tunnels-{'opened' if is_open else 'refused'}")
         return status
 
@@ -242,8 +256,7 @@
         secret = find_header(request.headers, tunnel_messages.SECRET_HEADER) or b""
         if request.method != b"CONNECT" or not hmac.compare_digest(secret, self._secret):
             return tunnel_messages.WRONG_SECRET
-        name = find_header(request.headers, tunnel_messages.BACK_END_HEADER) or b""
-        record = self._find_back_end(name.decode("latin-1"))
+        record = self._find_back_end(_text_header(request, tunnel_messages.BACK_END_HEADER))
         if record is None or record.address.encode() != request.target:
             return tunnel_messages.UNKNOWN_BACK_END
         if not self._may_receive(record):
@@ -273,3 +286,7 @@
         back_end_side.other = daemon_side
         daemon_side.other = back_end_side
         return tunnel_messages.CONNECTED
+
+
+def _text_header(request: h11.Request, name: bytes) -> str:
+    return (find_header(request.headers, name) or b"").decode("latin-1")
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/announcement_reader.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/announcement_reader.py
@@ -10,17 +10,14 @@
 
 import msgspec
 
-from kitekeel_daemon.answer_headers import ParsedBackoff, read_backoff, read_leaving
+from kitekeel_daemon.answer_headers import read_backoff, read_leaving
+from kitekeel_daemon.backoff_tracker import BackoffTracker
 from kitekeel_daemon.decision_log import DecisionLog
 from kitekeel_daemon.gateway_metrics import GatewayMetrics
-from kitekeel_steering.clock import Clock
 from kitekeel_steering.fleet_items import BackEndRecord
 from kitekeel_steering.fleet_view import FleetView
 from kitekeel_steering.leaving_back_ends import LeavingBackEnds
-from kitekeel_steering.log_messages import (
-    BackEndAnnouncementUnreadable,
-    BackEndBackoffStarted,
-)
+from kitekeel_steering.log_messages import BackEndAnnouncementUnreadable
 from kitekeel_steering.proxied_messages import (
     RETRY_AFTER,
     HeaderNames,
@@ -60,18 +57,17 @@
         view: FleetView,
         names: HeaderNames,
         leaving: LeavingBackEnds,
-        clock: Clock,
+        backoffs: BackoffTracker,
         metrics: GatewayMetrics,
         log: DecisionLog,
     ) -> None:
         self._view = view
         self._names = names
-        self._clock = clock
         self._metrics = metrics
         self._log = log
         self._logged_unreadable: set[tuple[str, bytes]] = set()
         self._leaving = leaving
-        self._backoff_ends: dict[tuple[str, int], float] = {}
+        self._backoffs = backoffs
 
     def read(self, head: AnswerHead) -> None:
         """Read the announcements in the head of an answer."""
@@ -79,8 +75,11 @@
         if speaker is None:
             return
         self._read_leaving(head, speaker)
-        if head.status == HTTPStatus.SERVICE_UNAVAILABLE:
-            self._read_backoff(head, speaker)
+        seconds = self._backoff_seconds(head, speaker)
+        if seconds:
+            self._backoffs.note_requested(speaker, seconds, head.request_id, head.relay)
+        elif speaker is head.dialled:
+            self._backoffs.note_answered(speaker, head.sent_at)
 
     def _speaker(self, head: AnswerHead) -> BackEndRecord | None:
         """Return the back end that sent an answer, or ``None`` if it is not known.
@@ -108,33 +107,16 @@
         if parsed.is_leaving:
             self._leaving.note(speaker.instance, speaker.started_at_ms, OWN, head.request_id)
 
-    def _read_backoff(self, head: AnswerHead, speaker: BackEndRecord) -> None:
+    def _backoff_seconds(self, head: AnswerHead, speaker: BackEndRecord) -> float:
+        """Return the pause that an answer requests; 0 if it requests none."""
+        if head.status != HTTPStatus.SERVICE_UNAVAILABLE:
+            return 0.0
         parsed = read_backoff(find_headers(head.headers, RETRY_AFTER))
         if parsed.unreadable:
             self._note_unreadable(speaker, RETRY_AFTER, parsed.unreadable)
         if parsed.is_shortened:
             self._metrics.increment("back-ends.backoffs-shortened")
-        if not parsed.seconds:
-            return
-        self._metrics.increment("back-ends.backoffs-requested")
-        now = self._clock.monotonic()
-        key = (speaker.instance, speaker.started_at_ms)
-        if self._backoff_ends.get(key, now) <= now:
-            self._log_backoff(head, speaker, parsed)
-        self._backoff_ends[key] = max(self._backoff_ends.get(key, now), now + parsed.seconds)
-
-    def _log_backoff(self, head: AnswerHead, speaker: BackEndRecord, parsed: ParsedBackoff) -> None:
-        self._log.state(
-            BackEndBackoffStarted(
-                back_end=speaker.instance,
-                service=speaker.service,
-                seconds=round(parsed.seconds, 3),
-                until=round(self._clock.wall() + parsed.seconds, 3),
-                source=OWN,
-                answered=head.request_id,
-                relay=head.relay,
-            )
-        )
+        return parsed.seconds
 
     def _note_unreadable(
         self, speaker: BackEndRecord, header: bytes, values: tuple[bytes, ...]
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/routed_request.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/routed_request.py
@@ -28,6 +28,7 @@
         refused_claims: number of times that no token of a back end's rate limit was available.
         may_have_run: whether a back end may have run the request.
         was_rejected_with_free_slot: whether the last back end rejected it despite a free slot.
+        was_asked_to_pause: whether the last back end asked this daemon to send nothing for a while.
         identity: equal for all retries of a request; empty if no crash record can match it.
         careful_try: permission to send it once although it is quarantined.
         known: number of back ends of the service in the view.
@@ -51,6 +52,7 @@
     refused_claims: int = 0
     may_have_run: bool = False
     was_rejected_with_free_slot: bool = False
+    was_asked_to_pause: bool = False
     identity: str = ""
     careful_try: CarefulTry | None = None
     known: int = 0
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -16,6 +16,7 @@
 from hypothesis import strategies as st
 
 from kitekeel_daemon.back_end_states import BackEndStates
+from kitekeel_steering.backoffs import Backoffs
 from kitekeel_steering.clock import ManualClock, SystemClock
 from kitekeel_steering.fleet_items import (
     BackEndRecord,
@@ -110,7 +111,9 @@
 def states_of(view: FleetView) -> BackEndStates:
     clock = SystemClock()
     leaving = LeavingBackEnds(clock, view.find_back_end, lambda *_: None)
-    return BackEndStates(view, DaemonCount(clock), {"n1": "north"}, random.Random(1), leaving)
+    return BackEndStates(
+        view, DaemonCount(clock), {"n1": "north"}, random.Random(1), leaving, Backoffs()
+    )
 
 
 def test_nothing_of_the_former_process_counts_for_the_new_one() -> None:
--- a/tests/test_leaving_back_ends.py
+++ b/tests/test_leaving_back_ends.py
@@ -4,6 +4,7 @@
 from gateway_stand_ins import NAMES
 
 from kitekeel_daemon.announcement_reader import AnnouncementReader, AnswerHead
+from kitekeel_daemon.backoff_tracker import BackoffTracker
 from kitekeel_daemon.decision_log import DecisionLog
 from kitekeel_daemon.gateway_metrics import GatewayMetrics
 from kitekeel_daemon.leaving_tracker import LeavingTracker
@@ -35,8 +36,9 @@
             self.register(each)
         metrics, log = GatewayMetrics(), DecisionLog("g0")
         self.tracker = LeavingTracker(self.view, self.clock, metrics, log)
+        self.backoffs = BackoffTracker(self.view, self.clock, metrics, log, lambda _: ())
         self.reader = AnnouncementReader(
-            self.view, NAMES, self.tracker.back_ends, self.clock, metrics, log
+            self.view, NAMES, self.tracker.back_ends, self.backoffs, metrics, log
         )
 
     def register(self, back_end: BackEndRecord) -> None:
