Heed announcements of back ends in kitekeeld, and let the lab's make them

Slots of unavailable back ends are not taken, and one that was taken before is given up just before the request is sent, which returns to the queue. After a pause one request at a time is sent until one is answered. Where all back ends are unavailable, requests are refused at once with the time until the first is usable. kitekeeld's configuration names no process, so an announced end is over once the address refuses connections; a thread connects to leaving back ends four times a second and sends nothing.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/admissions.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/admissions.py
@@ -11,6 +11,7 @@
 from kitekeel_steering.grant_table import HolderIdentity
 from kitekeel_steering.grant_timing import GrantTiming
 from kitekeel_steering.model import Configuration
+from kitekeel_steering.unavailable_back_ends import UnavailableBackEnds
 
 
 class Admissions:
@@ -24,6 +25,7 @@
             each occupies a thread. If the classes have more queue places in total, the places of
             every class are reduced in proportion.
         on_demand: called with a pool from which slots should be requested.
+        unavailable: the back ends that must get no requests because of their own announcements.
     """
 
     def __init__(
@@ -33,7 +35,9 @@
         timing: GrantTiming,
         max_waiting: int,
         on_demand: Callable[[PoolName], None],
+        unavailable: UnavailableBackEnds,
     ) -> None:
+        self._unavailable = unavailable
         self._identity = identity
         self._clock = clock
         self._timing = timing
@@ -45,6 +49,7 @@
 
     def configure(self, configuration: Configuration) -> None:
         """Apply a configuration to all admissions."""
+        self._unavailable.retain(each.name for each in configuration.back_ends)
         with self._lock:
             self._configuration = configuration
             for service in configuration.services:
@@ -79,7 +84,12 @@
         admission = self._by_service.get(service)
         if admission is None:
             admission = ServiceAdmission(
-                service, self._identity, self._clock, self._timing, self._on_demand
+                service,
+                self._identity,
+                self._clock,
+                self._timing,
+                self._on_demand,
+                self._unavailable,
             )
             self._by_service[service] = admission
         return admission
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/daemon.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/daemon.py
@@ -16,8 +16,10 @@
 from kitekeel_callers.in_flight import InFlight
 from kitekeel_callers.intake import Intake
 from kitekeel_daemon.admissions import Admissions
+from kitekeel_daemon.back_end_announcements import BackEndAnnouncements
 from kitekeel_daemon.event_recorder import EventRecorder
 from kitekeel_daemon.homes import HttpRelay, MemberHomes
+from kitekeel_daemon.leaving_watch import LeavingWatch
 from kitekeel_daemon.metrics import StatsdSender
 from kitekeel_daemon.operations import DaemonOperations
 from kitekeel_daemon.phase_report import PhaseReport
@@ -51,6 +53,7 @@
 from kitekeel_steering.progress import PartProgress
 from kitekeel_steering.rendezvous import rank_nodes
 from kitekeel_steering.settings import PeerSettings, Settings
+from kitekeel_steering.unavailable_back_ends import UnavailableBackEnds
 
 _WATCHERS_PER_ZONE = 2
 _KEEPER_REVIEW_SECONDS = 0.5
@@ -165,10 +168,16 @@
     def _make_steering(self) -> None:
         region = self.settings.daemon.region
         self._identity = HolderIdentity(self.instance, region, self.settings.daemon.place)
+        self._unavailable = UnavailableBackEnds(self._clock)
         self.exchanges = PoolExchanges(region, self._make_exchanges, self._is_pool_idle)
         max_waiting = int(self.settings.callers.threads * _MAX_WAITING_SHARE)
         self.admissions = Admissions(
-            self._identity, self._clock, self._timing, max_waiting, self.exchanges.ask
+            self._identity,
+            self._clock,
+            self._timing,
+            max_waiting,
+            self.exchanges.ask,
+            self._unavailable,
         )
 
     def _make_callers(self) -> None:
@@ -176,7 +185,12 @@
         forwarder = Forwarder()
         signer = HomeTokenSigner(self.settings.peers.secret.encode())
         runner = RequestRunner(
-            self.spread.current, self.admissions.find, forwarder, self.metrics, self.guard
+            self.spread.current,
+            self.admissions.find,
+            forwarder,
+            self.metrics,
+            self.guard,
+            BackEndAnnouncements(self._unavailable, self.metrics, self.recorder),
         )
         idempotent = IdempotentRequests(
             signer,
@@ -240,6 +254,7 @@
 
     def _loops(self) -> list[Loop]:
         probes = LoadProbes(self._probe_targets, self.keeper.note_report, self.keeper.note_refused)
+        leaving = LeavingWatch(self.spread.current, self._unavailable, self._on_back_end_gone)
         sender = StatsdSender(self.metrics, self.settings.metrics, self.settings.daemon.name)
         return [
             self.membership.run,
@@ -248,6 +263,7 @@
             probes.run,
             sender.run,
             self.guard.run,
+            leaving.run,
             self._run_pulls,
             self._run_keeper_review,
         ]
@@ -268,6 +284,9 @@
         self.keeper.configure(configuration)
         self.exchanges.configure(configuration)
 
+    def _on_back_end_gone(self, name: str) -> None:
+        self.recorder.add("back-end-gone", f"{name}, after it had announced its end")
+
     def _on_member(self, record: MemberRecord) -> None:
         state = describe_state(record)
         if self._member_states.get(record.instance) != state:
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/request_runner.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/request_runner.py
@@ -11,6 +11,7 @@
 
 from kitekeel_backends.forwarding import Forwarder
 from kitekeel_callers.caller_request import CallerRequest
+from kitekeel_daemon.back_end_announcements import BackEndAnnouncements
 from kitekeel_daemon.given_up_requests import GivenUpRequests
 from kitekeel_daemon.known_body import read_ahead
 from kitekeel_daemon.request_guard import RequestGuard, identity_of
@@ -49,6 +50,7 @@
         forwarder: sends requests.
         metrics: counts sends and retries.
         guard: detects requests that crash back ends.
+        announcements: reads what back ends announce in their answers.
     """
 
     def __init__(
@@ -58,7 +60,9 @@
         forwarder: Forwarder,
         metrics: Metrics,
         guard: RequestGuard,
+        announcements: BackEndAnnouncements,
     ) -> None:
+        self._announcements = announcements
         self._guard = guard
         self._configuration = configuration
         self._admission = admission
@@ -105,6 +109,7 @@
             deadline,
             allowed_seconds * _MIN_REMAINING_TIME_SHARE,
             bound_guard,
+            self._announcements,
         ).run()
 
     def _budget(self, service: str) -> RetryBudget:
@@ -150,7 +155,9 @@
         deadline: float,
         min_remaining_seconds: float,
         bound_guard: _BoundGuard,
+        announcements: BackEndAnnouncements,
     ) -> None:
+        self._announcements = announcements
         self._bound_guard = bound_guard
         self._configuration = configuration
         self._admission = admission
@@ -215,7 +222,7 @@
         """Send the request; the slot is released on failure, or when the answer's body ends."""
         back_end = self._find_back_end(hold.back_end)
         started_at = steady_seconds()
-        if back_end is None or not self._admission.may_start(hold):
+        if back_end is None or not self._admission.try_start(hold):
             # The grant ended or the back end was drained after the slot was acquired.
             self._admission.release(hold)
             self._metrics.increment("requests.grant_ended")
@@ -233,6 +240,7 @@
         except BaseException as error:
             self._note_failure(back_end, hold, error, steady_seconds() - started_at)
             raise
+        answer = self._announcements.read(back_end.name, answer)
         pieces = _SlotReleasingBody(
             answer, hold, self._admission, started_at, back_end, self._bound_guard
         )
--- a/packages/kitekeel-lab/src/kitekeel_lab/back_end_messages.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/back_end_messages.py
@@ -33,6 +33,8 @@
         report_running: a lie told as the running count.
         report_lag_seconds: by how much reports lag.
         draining: reports say that it is draining.
+        announces_end: answers say that it is about to stop.
+        retry_after: every request is turned away with 503 and this ``Retry-After``; empty for none.
         sheds: work beyond the slots is refused with 503, not run beside the rest.
     """
 
@@ -45,6 +47,8 @@
     report_lag_seconds: float = 0.0
     draining: bool = False
     sheds: bool = False
+    announces_end: bool = False
+    retry_after: str = ""
 
 
 class FaultOrder(msgspec.Struct, frozen=True):
@@ -63,6 +67,7 @@
         peak: most requests running at once.
         last_started_at: wall-clock time of the last request begun.
         starts: wall-clock start time, origin region and shift of each request.
+        turned_away: wall-clock time and requested pause in seconds of each request turned away.
     """
 
     runs: dict[str, int]
@@ -73,3 +78,4 @@
     running: int = 0
     last_started_at: float = 0.0
     starts: list[tuple[float, str, str]] = []
+    turned_away: list[tuple[float, float]] = []
--- a/packages/kitekeel-lab/src/kitekeel_lab/back_end_server.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/back_end_server.py
@@ -29,12 +29,16 @@
 )
 from kitekeel_steering.http_messages import (
     DEADLINE_HEADER,
+    LEAVING_HEADER,
     ORIGIN_HEADER,
     REQUEST_ID_HEADER,
+    RETRY_AFTER_HEADER,
     SHIFT_HEADER,
 )
 from kitekeel_steering.load_reports import LoadReport
 
+Headers = tuple[tuple[str, str], ...]
+
 _SPARE_THREADS = 10
 _COLD_FACTOR = 2.0
 _PIECE_BYTES = 16 * 1024
@@ -75,21 +79,38 @@
 
     def _serve(self, environment: Environment) -> _Answer:
         request_id = _header(environment, REQUEST_ID_HEADER)
+        announcements = self._announcements()
+        if self.faults.retry_after:
+            with self._lock:
+                self.record.turned_away.append((time.time(), float(self.faults.retry_after)))
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+            return _Answer(status, request_id, self.spec.name, 0, "", announcements)
         query = parse_qs(str(environment.get("QUERY_STRING", "")))
         work_seconds = float(query.get("work_ms", ["1"])[0]) / 1000
         size = int(query.get("answer_bytes", ["0"])[0])
         if self._random.random() < self.faults.fail_share:
-            return _Answer(HTTPStatus.INTERNAL_SERVER_ERROR, request_id, self.spec.name, 0, "")
+            status = HTTPStatus.INTERNAL_SERVER_ERROR
+            return _Answer(status, request_id, self.spec.name, 0, "", announcements)
         cancelled = threading.Event()
         origin = _header(environment, ORIGIN_HEADER)
         if not self._begin(request_id, cancelled, origin, _header(environment, SHIFT_HEADER)):
-            return _Answer(HTTPStatus.SERVICE_UNAVAILABLE, request_id, self.spec.name, 0, "")
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+            return _Answer(status, request_id, self.spec.name, 0, "", announcements)
         try:
             deadline = float(_header(environment, DEADLINE_HEADER) or 60_000) / 1000
             cancelled.wait(min(work_seconds * self._factor(), deadline))
         finally:
             self._end(request_id)
-        return _Answer(HTTPStatus.OK, request_id, self.spec.name, size, self._choose_break())
+        fault = self._choose_break()
+        return _Answer(HTTPStatus.OK, request_id, self.spec.name, size, fault, announcements)
+
+    def _announcements(self) -> Headers:
+        headers: list[tuple[str, str]] = []
+        if self.faults.announces_end:
+            headers.append((LEAVING_HEADER, "1"))
+        if self.faults.retry_after:
+            headers.append((RETRY_AFTER_HEADER, self.faults.retry_after))
+        return tuple(headers)
 
     def _begin(self, request_id: str, cancelled: threading.Event, origin: str, shift: str) -> bool:
         with self._lock:
@@ -152,8 +173,15 @@
     """One answer, whole or broken as the faults demand."""
 
     def __init__(
-        self, status: HTTPStatus, request_id: str, back_end: str, size: int, fault: str
+        self,
+        status: HTTPStatus,
+        request_id: str,
+        back_end: str,
+        size: int,
+        fault: str,
+        announcements: Headers = (),
     ) -> None:
+        self._announcements = announcements
         self._status = status
         self._fault = fault
         head = f"{request_id} {back_end}\n".encode()
@@ -163,6 +191,7 @@
         if self._fault == "break":
             raise ConnectionResetError(errno.ECONNRESET, "told to break")
         headers = [("Content-Length", str(len(self._body))), ("Content-Type", "text/plain")]
+        headers.extend(self._announcements)
         start_response(f"{self._status.value} {self._status.phrase}", headers)
         return self._pieces()
 
--- a/packages/kitekeel-steering/src/kitekeel_steering/admission.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/admission.py
@@ -29,6 +29,7 @@
 from kitekeel_steering.recent_times import RecentTimes
 from kitekeel_steering.shift_counter import ShiftCounter
 from kitekeel_steering.shift_health import ShiftHealth
+from kitekeel_steering.unavailable_back_ends import UnavailableBackEnds
 from kitekeel_steering.waiter import ServedRate, Waiter
 
 _MIN_RETRY_AFTER_SECONDS = 1.0
@@ -56,6 +57,7 @@
         timing: grant lifetimes and exchange intervals.
         on_demand: called with the lock held when slots of a pool should be requested soon; it must
             not block.
+        unavailable: the back ends that must get no requests because of their own announcements.
     """
 
     table_type: ClassVar[type[GrantTable]] = GrantTable
@@ -67,7 +69,9 @@
         clock: Clock,
         timing: GrantTiming,
         on_demand: Callable[[PoolName], None],
+        unavailable: UnavailableBackEnds | None = None,
     ) -> None:
+        self._unavailable = unavailable or UnavailableBackEnds(clock)
         self.service = service
         self._identity = identity
         self._clock = clock
@@ -161,14 +165,20 @@
             self._tables[hold.pool].release(hold)
             self._serve()
 
-    def may_start(self, hold: SlotHold) -> bool:
-        """Return whether the grant of a taken slot is still valid and its back end not drained."""
+    def try_start(self, hold: SlotHold) -> bool:
+        """Return whether a request may be sent with a taken slot now.
+
+        The grant may have ended since, or the back end may have been drained or be unavailable.
+        :meth:`note_result` must follow if it may be sent.
+        """
         with self._lock:
-            return self._tables[hold.pool].may_start() and hold.back_end not in self._drained
+            is_usable = self._tables[hold.pool].may_start() and hold.back_end not in self._drained
+            return is_usable and self._unavailable.try_start(hold.back_end)
 
     def note_result(self, hold: SlotHold, succeeded: bool, seconds: float) -> None:
         """Record a back end's answer; pause the ramps of shifts whose target is unhealthy."""
         with self._lock:
+            self._unavailable.note_ended(hold.back_end)
             self._tables[hold.pool].note_result(hold.back_end, succeeded, seconds)
             if succeeded and seconds > 0:
                 self._times_of(hold.key.priority_class).note(seconds)
@@ -251,6 +261,7 @@
         options = pool_options(self._configuration, self.service, self._identity.region, class_name)
         if not options:
             raise NoRoomError(f"every back end of '{self.service}' is drained", 5.0)
+        self._refuse_if_unavailable()
         if previous_hold is None:
             self._ensure_queue_place(priority_class)
         order = next(self._order) if previous_hold is None else previous_hold.queue_order
@@ -260,6 +271,19 @@
         self._waiters.sort(key=lambda each: each.position)
         return waiter
 
+    def _refuse_if_unavailable(self) -> None:
+        """Refuse a request immediately if no back end may be sent requests for a while."""
+        names = {
+            each.name
+            for each in self._configuration.back_ends
+            if each.service == self.service and each.name not in self._drained
+        }
+        seconds = self._unavailable.seconds_until_usable(names)
+        if names and seconds != 0.0:
+            retry_after = _MIN_RETRY_AFTER_SECONDS if seconds is None else seconds
+            text = f"every back end of '{self.service}' is about to stop or has requested a pause"
+            raise NoRoomError(text, retry_after)
+
     def _ensure_queue_place(self, priority_class: PriorityClass) -> None:
         """Ensure a queue place, displacing a request of a less urgent class if that is allowed."""
         names = {priority_class.name, *priority_class.pushes_aside}
@@ -299,6 +323,7 @@
         """Assign free slots to waiting requests, the most urgent first."""
         now = self._clock.monotonic()
         asked: set[PoolName] = set()
+        excluded = self._drained | self._unavailable.excluded()
         for waiter in list(self._waiters):
             if waiter.hold is not None or waiter.refusal is not None:
                 continue
@@ -306,12 +331,14 @@
                 # The request's thread has not timed out yet, but could no longer use the slot.
                 self._refuse(waiter, self._no_room(waiter.priority_class))
                 continue
-            self._try_options(waiter, now, asked)
+            self._try_options(waiter, now, asked, excluded)
         self._waiters = [each for each in self._waiters if not each.decided.is_set()]
         for pool in asked:
             self._on_demand(pool)
 
-    def _try_options(self, waiter: Waiter, now: float, asked: set[PoolName]) -> None:
+    def _try_options(
+        self, waiter: Waiter, now: float, asked: set[PoolName], excluded: frozenset[str]
+    ) -> None:
         waited = now - waiter.arrived_at
         for index, option in enumerate(waiter.options):
             if waited < option.after_seconds:
@@ -319,7 +346,7 @@
             if option.key.shift and not self._may_move(option.key.shift):
                 continue
             table = self._table(option.pool)
-            hold = table.try_take(option.key, waiter.excluded, self._drained)
+            hold = table.try_take(option.key, waiter.excluded, excluded)
             if hold is not None:
                 self._assign(waiter, hold, now)
                 return
--- a/packages/kitekeel-steering/src/kitekeel_steering/http_messages.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/http_messages.py
@@ -11,6 +11,9 @@
 DEADLINE_HEADER = "Kitekeel-Deadline-Ms"
 ORIGIN_HEADER = "Kitekeel-Origin-Region"
 SHIFT_HEADER = "Kitekeel-Shift"
+# Set to 1 by a back end that is about to stop.
+LEAVING_HEADER = "Kitekeel-Leaving"
+RETRY_AFTER_HEADER = "Retry-After"
 _HOP_BY_HOP_HEADERS = frozenset(
     {
         "connection",
--- a/tests/search_runner.py
+++ b/tests/search_runner.py
@@ -4,6 +4,7 @@
 
 from kitekeel_backends.forwarding import Forwarder
 from kitekeel_callers.caller_request import CallerRequest, RequestLimits, RequestReader
+from kitekeel_daemon.back_end_announcements import BackEndAnnouncements
 from kitekeel_daemon.event_recorder import EventRecorder
 from kitekeel_daemon.request_guard import RequestGuard
 from kitekeel_daemon.request_runner import RequestRunner
@@ -24,6 +25,7 @@
 from kitekeel_steering.grant_timing import GrantTiming
 from kitekeel_steering.metrics import MemoryMetrics
 from kitekeel_steering.model import Configuration
+from kitekeel_steering.unavailable_back_ends import UnavailableBackEnds
 
 POOL = PoolName("search", "nl-noord")
 
@@ -43,10 +45,12 @@
     return msgspec.structs.replace(given, back_ends=local, revision=1)
 
 
-def admission_with(configuration: Configuration, slots: int) -> ServiceAdmission:
+def admission_with(
+    configuration: Configuration, slots: int, unavailable: UnavailableBackEnds | None = None
+) -> ServiceAdmission:
     identity = HolderIdentity("d1", POOL.region, 1)
     admission = ServiceAdmission(
-        POOL.service, identity, SystemClock(), GrantTiming(), lambda _pool: None
+        POOL.service, identity, SystemClock(), GrantTiming(), lambda _pool: None, unavailable
     )
     admission.configure(configuration)
     request = admission.prepare_exchange(POOL, True, False, 0.0)
@@ -78,9 +82,11 @@
 
 def lone_guard() -> RequestGuard:
     """A guard without other daemons; its loop must run for it to learn."""
-    clock = SystemClock()
-    recorder = EventRecorder(EventLog("d1", HybridClock(clock)), "d1")
-    return RequestGuard(clock, MemoryMetrics(), recorder)
+    return RequestGuard(SystemClock(), MemoryMetrics(), lone_recorder())
+
+
+def lone_recorder() -> EventRecorder:
+    return EventRecorder(EventLog("d1", HybridClock(SystemClock())), "d1")
 
 
 def runner_at(
@@ -90,12 +96,14 @@
     guard: RequestGuard | None = None,
 ) -> tuple[RequestRunner, ServiceAdmission]:
     configuration = search_configuration(*addresses)
-    admission = admission_with(configuration, slots)
+    unavailable = UnavailableBackEnds(SystemClock())
+    admission = admission_with(configuration, slots, unavailable)
     runner = RequestRunner(
         lambda: configuration,
         lambda _service: admission,
         forwarder or Forwarder(),
         MemoryMetrics(),
         guard or lone_guard(),
+        BackEndAnnouncements(unavailable, MemoryMetrics(), lone_recorder()),
     )
     return runner, admission
