Soak: back ends that announce their end or ask for pauses

They now announce their end with or without their record, and ask for pauses, one or all of them, in series and overlapping with signals, cuts and restarts. Back ends know each daemon by the address that its proxied connections come from, and the check counts by it, so that relayed requests count for the relaying daemon. Seeds that failed once draw the same faults as before, as the new kinds are an option.

--- a/packages/kitekeel-lab/src/kitekeel_lab/fault_proxy.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/fault_proxy.py
@@ -50,6 +50,8 @@
 
 
 RuleFor = Callable[[int | None], ProxyRule]
+# Returns the local IP address to connect from, by the port of the connecting process.
+SourceFor = Callable[[int], str]
 
 
 class FaultProxy:
@@ -58,10 +60,14 @@
     Args:
         listen_address: ``IP:port``.
         target_address: ``IP:port``.
+        source_for: chooses the address that the target sees; any address if omitted.
     """
 
-    def __init__(self, listen_address: str, target_address: str) -> None:
+    def __init__(
+        self, listen_address: str, target_address: str, source_for: SourceFor | None = None
+    ) -> None:
         self._target = _split(target_address)
+        self._source_for = source_for
         self._rule_for: RuleFor = lambda _: ProxyRule()
         self._process_ids: tuple[int, ...] = ()
         self._closed = False
@@ -114,7 +120,8 @@
             _reset(client)
             return
         try:
-            server = socket.create_connection(self._target, timeout=2.0)
+            source = (self._source_for(peer_port), 0) if self._source_for is not None else None
+            server = socket.create_connection(self._target, 2.0, source)
         except OSError:
             _reset(client)
             return
--- a/tests/soak/gateway_soak.py
+++ b/tests/soak/gateway_soak.py
@@ -23,6 +23,7 @@
 
 import defopt  # noqa: E402
 import msgspec  # noqa: E402
+from soak_announcement_checks import AnnouncementChecks  # noqa: E402
 from soak_back_end import CRASHING_TARGET  # noqa: E402
 from soak_caller import Attempt, SoakCaller, connect  # noqa: E402
 from soak_checks import find_breaches  # noqa: E402
@@ -56,11 +57,13 @@
         faults: each with its time.
         breaches: broken promises; none in a clean run.
         succeeded: share of all requests that were answered with success.
+        announcements: how many answers announced an end or asked for a pause.
     """
 
     seed: int
     requests: int
     succeeded: float
+    announcements: int
     faults: tuple[str, ...]
     breaches: tuple[str, ...]
 
@@ -74,6 +77,7 @@
         has_restarts: whether back ends start again under their names and records are spoilt.
         has_crashes: whether one caller sends a request that ends each back end that runs it.
         has_link_cuts: whether some daemons lose their links to all back ends.
+        has_announcements: whether back ends announce their end, or ask for pauses.
     """
 
     def __init__(
@@ -85,7 +89,9 @@
         has_restarts: bool,
         has_crashes: bool,
         has_link_cuts: bool,
+        has_announcements: bool,
     ) -> None:
+        self._has_announcements = has_announcements
         self._has_link_cuts = has_link_cuts
         self._has_crashes = has_crashes
         self._seed = seed
@@ -98,6 +104,7 @@
         self._callers: list[SoakCaller] = []
         self._targets = ["/safe/", "/unsafe/"]
         self._breaches: list[str] = []
+        self._announcements = 0
 
     async def run(self) -> SoakReport:
         """Start all, inject faults, let it settle, and check."""
@@ -109,7 +116,13 @@
             if self._has_crashes:
                 callers.append(asyncio.create_task(self._ask_for_crashes(fleet, stop)))
             watcher = asyncio.create_task(self._watch_exits(fleet))
-            faults = SoakFaults(fleet, self._random, self._has_restarts, self._has_link_cuts)
+            faults = SoakFaults(
+                fleet,
+                self._random,
+                self._has_restarts,
+                self._has_link_cuts,
+                self._has_announcements,
+            )
             await faults.run(self._seconds)
             await fleet.write_records()
             await asyncio.sleep(_SETTLE_SECONDS)
@@ -119,10 +132,18 @@
             await asyncio.gather(*callers)
             watcher.cancel()
             self._breaches += find_breaches(self._attempts, fleet.runs, fleet.daemons)
+            self._breaches += self._find_announcement_breaches(fleet)
         finally:
             fleet.end()
         return self._report(faults.told)
 
+    def _find_announcement_breaches(self, fleet: SoakFleet) -> list[str]:
+        sent_at = {each.request_id: each.sent_at for each in self._attempts}
+        daemons = {each.host: each for each in fleet.daemons}
+        checks = AnnouncementChecks(fleet.back_ends, daemons, fleet.disturbed, sent_at)
+        self._announcements = sum(len(each.announcements) for each in fleet.back_ends)
+        return checks.breaches()
+
     def _start_callers(self, fleet: SoakFleet, stop: asyncio.Event) -> list[asyncio.Task[None]]:
         addresses = [each.callers for each in fleet.daemons]
         self._callers = [
@@ -232,6 +253,7 @@
             seed=self._seed,
             requests=len(self._attempts),
             succeeded=round(succeeded / max(1, len(self._attempts)), 3),
+            announcements=self._announcements,
             faults=tuple(faults),
             breaches=tuple(self._breaches),
         )
@@ -245,10 +267,20 @@
     has_restarts: bool = False,
     has_crashes: bool = False,
     has_link_cuts: bool = False,
+    has_announcements: bool = False,
 ) -> SoakReport:
     """Run one soak and return its report."""
     folder.mkdir(parents=True, exist_ok=True)
-    played = GatewaySoak(seed, seconds, folder, daemons, has_restarts, has_crashes, has_link_cuts)
+    played = GatewaySoak(
+        seed,
+        seconds,
+        folder,
+        daemons,
+        has_restarts,
+        has_crashes,
+        has_link_cuts,
+        has_announcements,
+    )
     return asyncio.run(played.run())
 
 
@@ -261,6 +293,7 @@
     restarts: bool = True,
     crashes: bool = True,
     link_cuts: bool = True,
+    announcements: bool = True,
 ) -> int:
     """Run soaks of several seeds one after the other; the exit status tells of breaches.
 
@@ -271,14 +304,25 @@
     :param restarts: back ends start again under their names and records are spoilt, too.
     :param crashes: one caller sends a request that ends each back end that runs it, too.
     :param link_cuts: some daemons lose their links to all back ends, too.
+    :param announcements: back ends announce their end, or ask for pauses, too.
     """
     failed = 0
     folder = Path(tempfile.mkdtemp(prefix="gateway-soak-"))
     for seed in range(first_seed, first_seed + seeds):
-        report = soak(seed, seconds, folder / str(seed), daemons, restarts, crashes, link_cuts)
+        report = soak(
+            seed,
+            seconds,
+            folder / str(seed),
+            daemons,
+            restarts,
+            crashes,
+            link_cuts,
+            announcements,
+        )
         print(
             f"seed {seed}: {report.requests} requests, {report.succeeded:.1%} succeeded, ", end=""
         )
+        print(f"{report.announcements} announcements, ", end="")
         print(f"{len(report.faults)} faults, {len(report.breaches)} breaches", flush=True)
         if report.breaches:
             failed += 1
--- a/tests/soak/soak_daemon.py
+++ b/tests/soak/soak_daemon.py
@@ -24,13 +24,15 @@
     """One daemon, which keeps its addresses over all its starts.
 
     Attributes:
+        host: the address by which back ends know it.
         disturbed_at: when it was killed, frozen, woken or started; monotonic, in seconds.
         stops_at: when it was told to stop as planned.
         own_exits: statuses of ends that nobody had asked for.
     """
 
-    def __init__(self, name: str, zone: str, folder: Path) -> None:
+    def __init__(self, name: str, zone: str, folder: Path, host: str = "127.0.0.1") -> None:
         self.name = name
+        self.host = host
         self.zone = zone
         self.callers = free_address()
         self.readiness = free_address()
--- a/tests/soak/soak_faults.py
+++ b/tests/soak/soak_faults.py
@@ -5,6 +5,7 @@
 import signal
 from collections.abc import Awaitable, Callable
 
+from soak_back_end import SoakBackEnd
 from soak_fleet import SoakFleet
 
 from kitekeel_lab.fault_proxy import FaultProxy, ProxyMode, ProxyRule
@@ -24,6 +25,7 @@
         has_restarts: whether back ends start again under their names and records are spoilt, too.
             Seeds that once failed without draw the same faults as then.
         has_link_cuts: whether some daemons lose their links to all back ends, too.
+        has_announcements: whether back ends announce their end, or ask for pauses, too.
     """
 
     def __init__(
@@ -32,6 +34,7 @@
         generator: random.Random,
         has_restarts: bool = False,
         has_link_cuts: bool = False,
+        has_announcements: bool = False,
     ) -> None:
         self._fleet = fleet
         self._random = generator
@@ -57,6 +60,9 @@
             self._kinds += [self._restart_back_end, self._spoil_record, self._write_late]
         if has_link_cuts:
             self._kinds += [self._cut_links, self._cut_links]
+        if has_announcements:
+            self._kinds += [self._announce_end, self._announce_end_unrecorded]
+            self._kinds += [self._ask_for_pause, self._ask_for_pauses_of_all]
 
     async def run(self, seconds: float) -> None:
         """Inject faults for so long, then wait until each has ended."""
@@ -94,7 +100,9 @@
         await self._cut(self._random.choice(self._fleet.store_proxies))
 
     async def _cut_back_end(self) -> None:
-        await self._cut(self._random.choice(self._fleet.back_end_proxies))
+        proxy = self._random.choice(self._fleet.back_end_proxies)
+        with self._fleet.disturbing(proxy):
+            await self._cut(proxy)
 
     async def _cut(self, proxy: FaultProxy) -> None:
         modes = [ProxyMode.SWALLOW, ProxyMode.ONE_WAY, ProxyMode.RESET, ProxyMode.PASS]
@@ -113,11 +121,12 @@
         def rule_for(owner: int | None) -> ProxyRule:
             return ProxyRule(mode) if owner in process_ids else ProxyRule()
 
-        for proxy in self._fleet.back_end_proxies:
-            proxy.set_rule_by_owner(rule_for, tuple(process_ids))
-        await self._pause()
-        for proxy in self._fleet.back_end_proxies:
-            proxy.set_rule(ProxyRule())
+        with self._fleet.disturbing(*self._fleet.back_end_proxies):
+            for proxy in self._fleet.back_end_proxies:
+                proxy.set_rule_by_owner(rule_for, tuple(process_ids))
+            await self._pause()
+            for proxy in self._fleet.back_end_proxies:
+                proxy.set_rule(ProxyRule())
 
     async def _silence_store(self) -> None:
         self._fleet.store.is_silent = True
@@ -158,6 +167,37 @@
         await self._pause()
         await self._fleet.write_record(back_end, "ready")
 
+    async def _announce_end(self) -> None:
+        """A back end leaves as planned; its next process starts under its name."""
+        back_end = self._random.choice(self._fleet.back_ends)
+        back_end.is_leaving = True
+        await self._fleet.write_record(back_end, "draining")
+        await self._end_and_restart(back_end)
+
+    async def _announce_end_unrecorded(self) -> None:
+        """A back end leaves, and its record says that it is ready until it has ended."""
+        back_end = self._random.choice(self._fleet.back_ends)
+        back_end.is_leaving = True
+        await self._end_and_restart(back_end)
+
+    async def _end_and_restart(self, back_end: SoakBackEnd) -> None:
+        await asyncio.sleep(self._random.uniform(2.5, 2.5 + _MAX_FAULT_SECONDS))
+        back_end.start_again()
+        await self._fleet.write_record(back_end, "ready")
+
+    async def _ask_for_pause(self) -> None:
+        await self._ask_for_pauses([self._random.choice(self._fleet.back_ends)])
+
+    async def _ask_for_pauses_of_all(self) -> None:
+        await self._ask_for_pauses(self._fleet.back_ends)
+
+    async def _ask_for_pauses(self, back_ends: list[SoakBackEnd]) -> None:
+        for back_end in back_ends:
+            back_end.pause_seconds = self._random.uniform(0.8, _MAX_FAULT_SECONDS)
+        await self._pause()
+        for back_end in back_ends:
+            back_end.pause_seconds = 0.0
+
     async def _restart_back_end(self) -> None:
         back_end = self._random.choice(self._fleet.back_ends)
         back_end.start_again()
--- a/tests/soak/soak_fleet.py
+++ b/tests/soak/soak_fleet.py
@@ -1,9 +1,12 @@
 """The fleet of a soak: daemons as processes, back ends and the store behind faulty proxies."""
 
 import asyncio
+import contextlib
 import signal
+from collections.abc import Iterator
 from pathlib import Path
 
+import msgspec
 from loopback import free_address
 from soak_back_end import SERVICE, Run, SoakBackEnd
 from soak_caller import HOST
@@ -11,13 +14,23 @@
 from store_stand_in import StoreStandIn
 
 from kitekeel_lab.fault_proxy import FaultProxy
+from kitekeel_lab.port_owner import owner_of_port
 
 _ZONES = ("n1", "n2")
+UNKNOWN_HOST = "127.0.2.255"
 _READY_SECONDS = 15.0
 # From the end of a back end's process under a request until its next one has recorded itself.
 _RESTART_SECONDS = 0.3
 
 
+class Disturbance(msgspec.Struct):
+    """A span in which the connections to a back end were cut or delayed; times are monotonic."""
+
+    back_end: str
+    begin: float
+    end: float = float("inf")
+
+
 class SoakFleet:
     """Everything that one soak starts, and ends again.
 
@@ -36,14 +49,16 @@
         ]
         for each in self.back_ends:
             each.on_crash = self._note_crash
+        self.disturbed: list[Disturbance] = []
         self._crashes: set[asyncio.Task[None]] = set()
         self._proxied_addresses = [free_address() for _ in self.back_ends]
         self.back_end_proxies = [
-            FaultProxy(listen, each.address)
+            FaultProxy(listen, each.address, self._source_for)
             for listen, each in zip(self._proxied_addresses, self.back_ends, strict=True)
         ]
         self.daemons = [
-            SoakDaemon(f"g{number}", _ZONES[number % 2], folder) for number in range(daemons)
+            SoakDaemon(f"g{number}", _ZONES[number % 2], folder, f"127.0.2.{number + 1}")
+            for number in range(daemons)
         ]
         self.store_proxies: list[FaultProxy] = []
         self._states: dict[str, str] = {}
@@ -56,6 +71,12 @@
     def elapsed(self) -> float:
         return self.now() - self._started_at
 
+    def _source_for(self, port: int) -> str:
+        """Return the address by which back ends know the daemon that owns a connection."""
+        owners = {each.process_id: each.host for each in self.daemons if each.process_id}
+        owner = owner_of_port(port, tuple(owners))
+        return owners[owner] if owner is not None else UNKNOWN_HOST
+
     async def start(self) -> None:
         """Start all, and return once every daemon is ready."""
         await self.store.start()
@@ -106,6 +127,21 @@
                 daemon.own_exits.append(status)
                 daemon.start(self.now())
 
+    @contextlib.contextmanager
+    def disturbing(self, *proxies: FaultProxy) -> Iterator[None]:
+        """Note that the connections to the back ends of some proxies are cut meanwhile."""
+        noted = [
+            Disturbance(back_end.instance, self.now())
+            for back_end, proxy in zip(self.back_ends, self.back_end_proxies, strict=True)
+            if proxy in proxies
+        ]
+        self.disturbed += noted
+        try:
+            yield
+        finally:
+            for each in noted:
+                each.end = self.now()
+
     async def write_configuration(self) -> None:
         """Write the next version; it adds a route of its own, to see which one is in force."""
         self.version += 1
--- a/tests/soak/test_gateway_soak.py
+++ b/tests/soak/test_gateway_soak.py
@@ -49,6 +49,13 @@
     assert not report.breaches, (report.breaches, report.faults)
 
 
+def test_a_short_soak_with_announcements_of_back_ends_breaks_no_promise(tmp_path: Path) -> None:
+    report = soak(13, 10.0, tmp_path, has_restarts=True, has_link_cuts=True, has_announcements=True)
+    assert report.requests > 500
+    assert report.announcements > 10
+    assert not report.breaches, (report.breaches, report.faults)
+
+
 def test_a_request_to_reload_while_a_daemon_starts_does_not_end_it(tmp_path: Path) -> None:
     with lone_gateway(tmp_path) as daemon:
         deadline = time.monotonic() + _STARTED_SECONDS
