--- a/packages/kitekeel-daemon/src/kitekeel_daemon/announcement_reader.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/announcement_reader.py
@@ -101,6 +101,8 @@
 
     def _read_leaving(self, head: AnswerHead, speaker: BackEndRecord) -> None:
         values = find_headers(head.headers, self._names.leaving)
+        if not values:
+            return
         parsed = read_leaving(values)
         if parsed.unreadable:
             self._note_unreadable(speaker, self._names.leaving, parsed.unreadable)
--- a/packages/kitekeel-lab/src/kitekeel_lab/back_end_server.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/back_end_server.py
@@ -229,7 +229,7 @@
             body = msgspec.json.encode(records)
             return _send(json_answer(HTTPStatus.OK, body, ()), start_response)
         if path == "/faults":
-            self._set_faults(msgspec.json.decode(_read_body(environment), type=FaultOrder))
+            self.set_faults(msgspec.json.decode(_read_body(environment), type=FaultOrder))
         elif path.startswith("/stop/"):
             self._servers.pop(path.removeprefix("/stop/")).stop()
         elif path.startswith("/start/"):
@@ -244,7 +244,12 @@
         server.start()
         self._servers[name] = server
 
-    def _set_faults(self, order: FaultOrder) -> None:
+    def record(self, name: str) -> BackEndRecord:
+        """Return what a stand-in has seen."""
+        return self._stand_ins[name].record
+
+    def set_faults(self, order: FaultOrder) -> None:
+        """Make stand-ins fail as told."""
         for name in order.back_ends or tuple(self._stand_ins):
             self._stand_ins[name].faults = order.faults
 
--- a/packages/kitekeel-lab/src/kitekeel_lab/chaos.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/chaos.py
@@ -36,6 +36,8 @@
 _QUIET_SECONDS = 12.0
 _SETTLE_SECONDS = 20.0
 _POLL_SECONDS = 0.2
+# Long enough for daemons to see that the former process is gone.
+_RESTART_SECONDS = 1.0
 
 
 class ChaosReport(msgspec.Struct, frozen=True):
@@ -73,9 +75,15 @@
 
 
 class ChaosRun:
-    """One run."""
+    """One run.
 
-    def __init__(self, seed: int, minutes: float) -> None:
+    Args:
+        has_announcements: whether back ends announce their end or ask for pauses, too. Without,
+            seeds draw the same faults as before these existed.
+    """
+
+    def __init__(self, seed: int, minutes: float, has_announcements: bool = False) -> None:
+        self._has_announcements = has_announcements
         self._seed = seed
         self._seconds = minutes * 60
         self._random = random.Random(seed)
@@ -132,6 +140,8 @@
             self._operator_race,
             self._break_back_ends,
         ]
+        if self._has_announcements:
+            faults += [self._leave, self._ask_for_pauses]
         at = 2.0
         while at < end:
             load.wait_for(at)
@@ -210,6 +220,34 @@
         self._later(3.0, lambda: self._cluster.set_back_end_faults(BackEndFaults()))
         return "back ends break 20% and cut 10% of their answers for 3 s"
 
+    def _leave(self) -> str:
+        """A back end announces its end, ends, and starts again."""
+        name = self._random.choice(self._deployment.configuration.back_ends).name
+        seconds = self._random.uniform(3.0, 6.0)
+        self._cluster.set_back_end_faults(BackEndFaults(announces_end=True), (name,))
+        self._later(seconds, lambda: self._replace_back_end(name))
+        return f"{name} announces its end for {seconds:.1f} s, then starts again"
+
+    def _replace_back_end(self, name: str) -> None:
+        self._cluster.stop_back_end(name)
+        self._cluster.set_back_end_faults(BackEndFaults(), (name,))
+        time.sleep(_RESTART_SECONDS)
+        self._cluster.start_back_end(name)
+
+    def _ask_for_pauses(self) -> str:
+        """All back ends of a pool turn requests away and ask for a pause."""
+        first = self._random.choice(self._deployment.configuration.back_ends)
+        names = tuple(
+            each.name
+            for each in self._deployment.configuration.back_ends
+            if (each.service, each.region) == (first.service, first.region)
+        )
+        asked = f"{self._random.uniform(0.5, 3.0):.2f}"
+        seconds = self._random.uniform(1.0, 5.0)
+        self._cluster.set_back_end_faults(BackEndFaults(retry_after=asked), names)
+        self._later(seconds, lambda: self._cluster.set_back_end_faults(BackEndFaults(), names))
+        return f"{', '.join(names)} ask for pauses of {asked} s for {seconds:.1f} s"
+
     def _operator_race(self) -> str:
         usable = [name for name in self._names if self._cluster.is_usable(name)]
         pair = [self._random.choice(usable), self._random.choice(usable)]
@@ -296,6 +334,6 @@
         )
 
 
-def run_chaos(seed: int, minutes: float) -> ChaosReport:
+def run_chaos(seed: int, minutes: float, has_announcements: bool = False) -> ChaosReport:
     """Run the fault schedule of a seed for some minutes."""
-    return ChaosRun(seed, minutes).run()
+    return ChaosRun(seed, minutes, has_announcements).run()
--- a/packages/kitekeel-lab/src/kitekeel_lab/cli.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/cli.py
@@ -133,14 +133,17 @@
     return 0
 
 
-def chaos(*, seed: int = _SEED, minutes: float = 2.0, json: bool = False) -> int:
+def chaos(
+    *, seed: int = _SEED, minutes: float = 2.0, announcements: bool = False, json: bool = False
+) -> int:
     """Run a seeded random fault schedule over the whole system; exit code 1 on any breach.
 
     :param seed: of faults and arrivals
     :param minutes: how long load and faults go on
+    :param announcements: back ends announce their end or ask for pauses, too
     :param json: print JSON
     """
-    report = run_chaos(seed, minutes)
+    report = run_chaos(seed, minutes, announcements)
     if json:
         print(msgspec.json.format(msgspec.json.encode(report)).decode())
     else:
--- a/tests/test_runner_announcements.py
+++ b/tests/test_runner_announcements.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable
 
+import msgspec
 import pytest
 from loopback import free_address
 from search_runner import caller_request, runner_at, search_configuration
@@ -11,6 +12,8 @@
 from kitekeel_backends.forwarding import Forwarder
 from kitekeel_daemon.leaving_watch import LeavingWatch
 from kitekeel_daemon.request_runner import RequestRunner
+from kitekeel_lab.back_end_messages import BackEndFaults, BackEndSpec, FaultOrder
+from kitekeel_lab.back_end_server import BackEndFarm
 from kitekeel_steering.clock import ManualClock, SystemClock
 from kitekeel_steering.errors import NotRunError
 from kitekeel_steering.http_messages import ForwardedRequest, StreamedAnswer
@@ -91,6 +94,31 @@
     assert ("Retry-After", "1") in run(runner, 0).headers
 
 
+def test_a_back_end_of_the_lab_gets_nothing_during_its_pause_nor_after_it_announced_its_end() -> (
+    None
+):
+    specs = [BackEndSpec(f"search-{n}", free_address(), "nl-noord", 5, {}) for n in (1, 2)]
+    runner, _ = runner_at(*(each.address for each in specs))
+    names = [each.name for each in search_configuration(*(s.address for s in specs)).back_ends]
+    farm = BackEndFarm(
+        [msgspec.structs.replace(s, name=n) for s, n in zip(specs, names, strict=True)], 1
+    )
+    farm.start()
+    try:
+        for faults in (BackEndFaults(retry_after="0.8"), BackEndFaults(announces_end=True)):
+            farm.set_faults(FaultOrder((names[0],), faults))
+            for number in range(30):
+                run(runner, number)
+            record = farm.record(names[0])
+            assert len(record.turned_away) == 1
+            time.sleep(0.9)
+        assert sum(record.runs.values()) <= 1
+        # One request of each round went to the first back end before it announced anything.
+        assert sum(farm.record(names[1]).runs.values()) == 2 * (30 - 1)
+    finally:
+        farm.stop()
+
+
 def test_after_a_pause_one_request_at_a_time_is_sent_until_one_is_answered() -> None:
     clock = ManualClock()
     unavailable = UnavailableBackEnds(clock)
