--- a/packages/kitekeel-daemon/src/kitekeel_daemon/announcement_reader.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/announcement_reader.py
@@ -88,7 +88,7 @@
         """
         stated = find_header(head.headers, self._names.answering_instance)
         is_replaced = head.status == HTTPStatus.MISDIRECTED_REQUEST
-        if stated is None and not is_replaced or stated == head.dialled.instance.encode():
+        if stated == head.dialled.instance.encode() or (stated is None and not is_replaced):
             return head.dialled
         found = [
             each
--- a/tests/test_header_fuzz.py
+++ b/tests/test_header_fuzz.py
@@ -4,7 +4,13 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 
-from kitekeel_daemon.answer_headers import read_cold_seconds, read_load
+from kitekeel_daemon.answer_headers import (
+    MAX_BACKOFF_SECONDS,
+    read_backoff,
+    read_cold_seconds,
+    read_leaving,
+    read_load,
+)
 from kitekeel_steering.fleet_items import MAX_COLD_SECONDS, MAX_SLOTS
 from kitekeel_steering.proxied_messages import end_to_end, find_cookie, find_header
 from kitekeel_steering.stated_numbers import MAX_NUMBER, whole_number
@@ -44,6 +50,21 @@
     assert seconds is None or 0.0 <= seconds <= MAX_COLD_SECONDS
 
 
+@given(st.lists(st.one_of(LOADS, NUMBERS), max_size=3))
+@example([b"nan", b"inf"])
+@example([b"9" * 400])
+def test_a_requested_pause_is_bounded_and_other_values_are_told(values: list[bytes]) -> None:
+    parsed = read_backoff(values)
+    assert 0.0 <= parsed.seconds <= MAX_BACKOFF_SECONDS
+    assert set(parsed.unreadable) <= set(values)
+
+
+@given(st.lists(st.binary(max_size=20), max_size=3))
+def test_only_a_one_announces_the_end_of_a_back_end(values: list[bytes]) -> None:
+    parts = [part.strip() for value in values for part in value.split(b",")]
+    assert read_leaving(values).is_leaving == (b"1" in parts)
+
+
 @pytest.mark.parametrize("value", [b"1e300,0,5", b"0,0,1e300", b"1,2", b"-1,0,5", None])
 def test_an_impossible_load_is_missing(value: bytes | None) -> None:
     assert read_load(value) is None
--- a/tests/test_peer_fuzz.py
+++ b/tests/test_peer_fuzz.py
@@ -18,7 +18,9 @@
 from message_strategies import values_of
 
 from kitekeel_daemon.back_end_limiter import BACK_END_QUOTA
+from kitekeel_peers.backoff_notices import BACKOFF, BackoffNotice
 from kitekeel_peers.crash_exchange import CRASHES, CrashNews
+from kitekeel_peers.leaving_exchange import LEAVING, LeavingNews
 from kitekeel_peers.limit_exchange import LIMITS, LimitNews
 from kitekeel_peers.membership import JOIN, PROBE
 from kitekeel_peers.messages import JoinRequest, ProbeRequest
@@ -40,6 +42,8 @@
     VIEW: ViewRequest,
     CRASHES: CrashNews,
     LIMITS: LimitNews,
+    LEAVING: LeavingNews,
+    BACKOFF: BackoffNotice,
     QUOTA: QuotaRequest,
     BACK_END_QUOTA: QuotaRequest,
 }
