--- a/packages/kitekeel-daemon/src/kitekeel_daemon/backoff_tracker.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/backoff_tracker.py
@@ -45,7 +45,7 @@
         self._daemons_relayed_to = daemons_relayed_to
         self._notices: BackoffNotices | None = None
         self._told_until: ProcessTable[float] = ProcessTable()
-        self.back_ends = Backoffs()
+        self.pauses = Backoffs()
 
     def share(
         self,
@@ -66,7 +66,7 @@
 
     def count(self) -> int:
         """Return the number of back ends that are not sent requests because of a pause."""
-        return self.back_ends.count_active(self._clock.monotonic())
+        return self.pauses.count_active(self._clock.monotonic())
 
     def note_requested(
         self, record: BackEndRecord, seconds: float, answered: str, relay: str
@@ -93,7 +93,7 @@
 
     def note_answered(self, record: BackEndRecord, sent_at: float) -> None:
         """Record an answer that requested no pause, to a request sent at a monotonic time."""
-        self.back_ends.of(record).note_answered(sent_at)
+        self.pauses.of(record).note_answered(sent_at)
 
     def _on_notice(self, notice: BackoffNotice) -> None:
         record = self._view.find_back_end(notice.back_end)
@@ -109,7 +109,7 @@
     def _extend(
         self, record: BackEndRecord, seconds: float, source: str, answered: str, relay: str
     ) -> None:
-        backoff = self.back_ends.of(record)
+        backoff = self.pauses.of(record)
         now = self._clock.monotonic()
         if not backoff.is_active(now):
             self._log.state(
--- a/tests/test_back_end_announcements.py
+++ b/tests/test_back_end_announcements.py
@@ -47,6 +47,13 @@
     assert not broken
 
 
+def check_left(servers: Sequence[AnnouncingBackEnd], tries: FirstTries) -> None:
+    late = [seconds for each in servers for seconds in each.late_arrivals(tries.sent_at)]
+    print(f"{len(late)} late, the last {max(late, default=0.0):.1f} s after")
+    assert all(each.told_at for each in servers[:2])
+    assert not late
+
+
 def check_not_twice(servers: Sequence[AnnouncingBackEnd]) -> None:
     runs = Counter(each for server in servers for each in server.ran)
     assert not [each for each, count in runs.items() if count > 1 and each.startswith("unsafe")]
@@ -129,10 +136,7 @@
             each.is_leaving = True
         await tries.run(8.0)
         await tries.finish()
-        late = [seconds for each in servers for seconds in each.late_arrivals(tries.sent_at)]
-        print(f"{len(late)} late, the last {max(late, default=0.0):.1f} s after")
-        assert all(each.told_at for each in servers[:2])
-        assert not late
+        check_left(servers, tries)
         meanwhile = tries.sent_between(begin, float("inf"))
         print(f"served {served_fraction(meanwhile):.3f} of {len(meanwhile)}")
         assert served_fraction(meanwhile) >= MIN_SERVED
@@ -151,10 +155,7 @@
             each.is_leaving = True
         await tries.run(8.0)
         await tries.finish()
-        late = [seconds for each in servers for seconds in each.late_arrivals(tries.sent_at)]
-        print(f"{len(late)} late, the last {max(late, default=0.0):.1f} s after")
-        assert all(each.told_at for each in servers[:2])
-        assert not late
+        check_left(servers, tries)
 
     play(scenario)
 
