--- a/tests/test_back_end_announcements.py
+++ b/tests/test_back_end_announcements.py
@@ -235,3 +235,63 @@
         assert len(servers[0].arrivals) == arrived
 
     play(scenario)
+
+
+def test_a_pause_without_the_not_run_header_is_kept_and_the_request_may_have_run() -> None:
+    async def scenario() -> None:
+        _, servers = await announcing_fleet(gateways=1, back_ends=1)
+        gateway = gateways()[0]
+        servers[0].retry_after, servers[0].states_not_run = "2", False
+        status, _, _ = await ask(gateway.callers, "/unsafe/x", "unsafe-asked")
+        assert status == 502
+        status, _, _ = await ask(gateway.callers, "/unsafe/x", "unsafe-refused")
+        assert status == 503
+        assert len(servers[0].arrivals) == 1
+
+    play(scenario)
+
+
+def test_no_crowd_returns_to_a_back_end_at_the_end_of_its_pause() -> None:
+    async def scenario() -> None:
+        _, servers = await announcing_fleet(gateways=2)
+        tries = traffic(60.0)
+        await tries.run(1.0)
+        servers[0].retry_after = "2"
+        await tries.run(1.5)
+        servers[0].retry_after = ""
+        servers[0].seconds = 1.0
+        await tries.run(4.0)
+        await tries.finish()
+        last = {each.sender: each.ends_at for each in servers[0].pauses}
+        assert last
+        for sender, ends_at in last.items():
+            back = [each.at for each in servers[0].arrivals if each.sender == sender]
+            first = min(at for at in back if at >= ends_at)
+            # The first request is answered after 1 s.
+            assert sum(first <= at < first + 0.9 for at in back) == 1
+            assert [at for at in back if at > first + 1.0]
+
+    play(scenario)
+
+
+def test_a_back_end_that_starts_again_during_its_pause_is_used_at_once() -> None:
+    async def scenario() -> None:
+        network, servers = await announcing_fleet(gateways=1, back_ends=1)
+        gateway, first = gateways()[0], servers[0]
+        first.record = msgspec.structs.replace(first.record, started_at_ms=1_000)
+        await network.store.put_back_end(first.record)
+        await asyncio.sleep(0.5)
+        first.retry_after = "60"
+        assert (await ask(gateway.callers, "/unsafe/x", "unsafe-asked"))[0] == 503
+        first.retry_after = ""
+        first.record = msgspec.structs.replace(first.record, started_at_ms=9_000)
+        await network.store.put_back_end(first.record)
+        # It is cold, so that its warm-up rate decides when the first request may be sent.
+        served_at = time.monotonic() + 2.5
+        statuses: list[int] = []
+        while time.monotonic() < served_at and 200 not in statuses:
+            statuses.append((await ask(gateway.callers, "/unsafe/x", f"n-{len(statuses)}"))[0])
+            await asyncio.sleep(0.05)
+        assert 200 in statuses
+
+    play(scenario)
