Expect the end of a back end whose record said that it is draining

A back end that ends as planned may cut requests that still run. If its record had said so, that was put down to the requests as a crash (found by reading); three such ends quarantine a harmless request in the whole fleet. An end that comes two seconds or more after the record said draining, in the same process, is now expected, as one that was announced in an answer is.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/leaving_tracker.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/leaving_tracker.py
@@ -69,8 +69,15 @@
         return len(self.back_ends.records())
 
     def is_end_expected(self, record: BackEndRecord) -> bool:
-        """Return whether the end of a back end's process now is probably the announced one."""
+        """Return whether the end of a back end's process now is probably the announced one.
+
+        It is announced in an answer, or by a record that says that the back end is draining.
+        """
         seconds = self.back_ends.leaving_seconds(record)
+        current = self._view.find_back_end(record.instance)
+        if seconds is None and current is not None and current.draining:
+            is_same = current.is_same_process(record)
+            seconds = self._view.record_age_seconds(record.instance) if is_same else None
         return seconds is not None and seconds >= _MIN_LEAVING_SECONDS
 
     def _on_leaving(self, leaving: LeavingRecord, source: str, answered: str) -> None:
--- a/tests/test_leaving_back_ends.py
+++ b/tests/test_leaving_back_ends.py
@@ -124,6 +124,15 @@
     assert daemon.tracker.is_end_expected(record())
 
 
+def test_the_end_of_a_process_whose_record_said_draining_is_expected() -> None:
+    """Guards against requests being quarantined for the planned ends of back ends."""
+    daemon = Daemon(record())
+    daemon.register(record(draining=True))
+    assert not daemon.tracker.is_end_expected(record())
+    daemon.clock.advance(3.0)
+    assert daemon.tracker.is_end_expected(record())
+
+
 def test_implausible_start_times_of_other_daemons_are_refused() -> None:
     for value in (-1, 2**60):
         try:
