--- a/tests/soak/test_gateway_soak.py
+++ b/tests/soak/test_gateway_soak.py
@@ -14,6 +14,9 @@
 # Seeds that once failed, each with its cause.
 #  1: a daemon that was told to reload while its modules were being loaded ended instead.
 _FAILED_SEEDS = [1]
+# The same with all kinds of faults.
+#  6111: a stopping daemon closed while a connection was being accepted, and cut its request.
+_FAILED_SEEDS_OF_ALL_FAULTS = [6111]
 
 
 @pytest.mark.parametrize("seed", [2, *_FAILED_SEEDS])
@@ -56,6 +59,20 @@
     assert not report.breaches, (report.breaches, report.faults)
 
 
+@pytest.mark.parametrize("seed", _FAILED_SEEDS_OF_ALL_FAULTS)
+def test_a_short_soak_with_all_kinds_of_faults_breaks_no_promise(seed: int, tmp_path: Path) -> None:
+    report = soak(
+        seed,
+        10.0,
+        tmp_path,
+        has_restarts=True,
+        has_crashes=True,
+        has_link_cuts=True,
+        has_announcements=True,
+    )
+    assert not report.breaches, (report.breaches, report.faults)
+
+
 def test_a_request_to_reload_while_a_daemon_starts_does_not_end_it(tmp_path: Path) -> None:
     with lone_gateway(tmp_path) as daemon:
         deadline = time.monotonic() + _STARTED_SECONDS
