Keep a pause that a restarted back end asks for before its record is known

The gateway still had the former process's record, put the pause down to that process, and forgot it when the new record arrived a few tenths later.

The connection tells whose word it was: those of the former process end with it. If the one that brought the pause is still open when the restart becomes known, the pause passes to the new process; so does one that another daemon told within the last three seconds. An announced end does not: the next answer tells it again, and it would keep the new process unused for good.

The stand-in of the tests now ends its connections when it starts anew, as a process does; test_back_end_announcements: the new test failed before (200 where 503 is wanted), the others pass as before.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/announcement_reader.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/announcement_reader.py
@@ -8,8 +8,7 @@
 
 from http import HTTPStatus
 
-import msgspec
-
+from kitekeel_daemon.answer_head import AnswerHead
 from kitekeel_daemon.answer_headers import read_backoff, read_leaving
 from kitekeel_daemon.backoff_tracker import BackoffTracker
 from kitekeel_daemon.decision_log import DecisionLog
@@ -21,7 +20,6 @@
 from kitekeel_steering.proxied_messages import (
     RETRY_AFTER,
     HeaderNames,
-    RawHeaders,
     find_header,
     find_headers,
 )
@@ -31,24 +29,6 @@
 _MAX_LOGGED_PROCESSES = 1_000
 
 
-class AnswerHead(msgspec.Struct, frozen=True):
-    """The head of an answer, and how it was obtained.
-
-    Attributes:
-        dialled: the back end that the request was sent to.
-        request_id: the request that was answered.
-        sent_at: monotonic time at which it was sent, in seconds.
-        relay: the daemon through which the connection leads; empty if it is direct.
-    """
-
-    dialled: BackEndRecord
-    status: int
-    headers: RawHeaders
-    request_id: str = ""
-    sent_at: float = 0.0
-    relay: str = ""
-
-
 class AnnouncementReader:
     """Reads the heads of answers; used on one event loop."""
 
@@ -77,7 +57,7 @@
         self._read_leaving(head, speaker)
         seconds = self._backoff_seconds(head, speaker)
         if seconds:
-            self._backoffs.note_requested(speaker, seconds, head.request_id, head.relay)
+            self._backoffs.note_requested(speaker, seconds, head)
         elif speaker is head.dialled:
             self._backoffs.note_answered(speaker, head.sent_at)
 
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/backoff_tracker.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/backoff_tracker.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable, Collection
 
+from kitekeel_daemon.answer_head import AnswerHead
 from kitekeel_daemon.decision_log import DecisionLog
 from kitekeel_daemon.gateway_metrics import GatewayMetrics
 from kitekeel_peers.backoff_notices import BackoffNotice, BackoffNotices
@@ -12,14 +13,16 @@
 from kitekeel_peers.rpc import PeerClient, PeerServer
 from kitekeel_steering.backoffs import Backoffs
 from kitekeel_steering.clock import Clock
-from kitekeel_steering.fleet_items import BackEndRecord, may_be_same_process
-from kitekeel_steering.fleet_view import FleetView
+from kitekeel_steering.fleet_items import BackEndRecord
+from kitekeel_steering.fleet_view import FleetView, ViewChange
 from kitekeel_steering.log_messages import BackEndBackoffStarted
 from kitekeel_steering.process_table import ProcessTable
 
 OWN = "own"
 # Added to the pause in a notice, so that further answers during this time need no further notice.
 _NOTICE_MARGIN_SECONDS = 0.25
+# How long the record of a new process takes to reach all daemons.
+_RECORD_DELAY_SECONDS = 3.0
 
 
 class BackoffTracker:
@@ -68,19 +71,13 @@
         """Return the number of back ends that are not sent requests because of a pause."""
         return self.pauses.count_active(self._clock.monotonic())
 
-    def note_requested(
-        self, record: BackEndRecord, seconds: float, answered: str, relay: str
-    ) -> None:
-        """Record the pause requested in an answer.
-
-        Args:
-            record: the back end.
-            seconds: the requested pause, from now on.
-            answered: the request that was answered.
-            relay: the daemon through which the answer came; empty if the connection was direct.
-        """
+    def note_requested(self, record: BackEndRecord, seconds: float, head: AnswerHead) -> None:
+        """Record a pause of some seconds from now on, requested in the head of an answer."""
         self._metrics.increment("back-ends.backoffs-requested")
-        self._extend(record, seconds, OWN, answered, relay)
+        relay = head.relay
+        self._log_start(record, seconds, OWN, head.request_id, relay)
+        until = self._clock.monotonic() + seconds
+        self.pauses.of(record).extend(until, head.is_connection_open)
         told_until = self._told_until.find(record.instance, record.started_at_ms)
         if told_until is not None and told_until >= self._clock.monotonic() + seconds:
             return
@@ -97,21 +94,30 @@
 
     def _on_notice(self, notice: BackoffNotice) -> None:
         record = self._view.find_back_end(notice.back_end)
-        if record is None or not may_be_same_process(record.started_at_ms, notice.started_at_ms):
+        if record is None or 0 < notice.started_at_ms < record.started_at_ms:
             return
         self._metrics.increment("back-ends.backoff-notices")
-        self._extend(record, notice.seconds, notice.sender, "", "")
+        self._log_start(record, notice.seconds, notice.sender, "", "")
+        now = self._clock.monotonic()
+        # The process that requested the pause may be newer than the record known here.
+        self.pauses.of(record).extend(
+            now + notice.seconds, lambda: self._clock.monotonic() - now < _RECORD_DELAY_SECONDS
+        )
         if notice.is_from_relay:
             return
         others = set(self._daemons_relayed_to(record.instance)) - {notice.sender}
         self._tell(others, record, notice.seconds, is_from_relay=True)
 
-    def _extend(
+    def on_change(self, change: ViewChange) -> None:
+        """Apply a pause to a restarted back end if its new process has requested it."""
+        if change.is_restart and change.item.back_end is not None:
+            self.pauses.note_restart(change.item.back_end, self._clock.monotonic())
+
+    def _log_start(
         self, record: BackEndRecord, seconds: float, source: str, answered: str, relay: str
     ) -> None:
-        backoff = self.pauses.of(record)
-        now = self._clock.monotonic()
-        if not backoff.is_active(now):
+        """Log a pause unless it extends one that is in progress."""
+        if not self.pauses.of(record).is_active(self._clock.monotonic()):
             self._log.state(
                 BackEndBackoffStarted(
                     back_end=record.instance,
@@ -123,7 +129,6 @@
                     relay=relay,
                 )
             )
-        backoff.extend(now + seconds)
 
     def _tell(
         self,
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/view_changes.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/view_changes.py
@@ -5,6 +5,7 @@
 from kitekeel_backends.connection_pool import ConnectionPool
 from kitekeel_daemon.back_end_limiter import BackEndLimiter
 from kitekeel_daemon.back_end_states import BackEndStates
+from kitekeel_daemon.backoff_tracker import BackoffTracker
 from kitekeel_daemon.decision_log import DecisionLog
 from kitekeel_daemon.departures import Departures
 from kitekeel_daemon.gateway_metrics import GatewayMetrics
@@ -27,11 +28,13 @@
         ends: ProcessEndDetector,
         limiter: BackEndLimiter,
         link_monitor: LinkMonitor,
+        backoffs: BackoffTracker,
         pool: ConnectionPool,
         metrics: GatewayMetrics,
         log: DecisionLog,
     ) -> None:
-        self._followers = (states, departures, running, ends, limiter, link_monitor)
+        # Before the states, which treat all that is known of a restarted back end as outdated.
+        self._followers = (backoffs, states, departures, running, ends, limiter, link_monitor)
         self._pool = pool
         self._metrics = metrics
         self._log = log
--- a/packages/kitekeel-steering/src/kitekeel_steering/backoffs.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/backoffs.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from kitekeel_steering.back_end_load import SentRequest
 from kitekeel_steering.fleet_items import BackEndRecord
@@ -23,12 +23,26 @@
     def __init__(self) -> None:
         self.until = float("-inf")
         self._awaits_answer = False
+        self._is_requester_alive: Callable[[], bool] = _is_not_alive
 
-    def extend(self, until: float) -> None:
-        """Extend the pause; an earlier end than the current one has no effect."""
+    def extend(self, until: float, is_requester_alive: Callable[[], bool] | None = None) -> None:
+        """Extend the pause; an earlier end than the current one has no effect.
+
+        Args:
+            until: the end of the pause.
+            is_requester_alive: returns whether the process that requested it may still run.
+        """
         if until > self.until:
             self.until = until
             self._awaits_answer = True
+            self._is_requester_alive = is_requester_alive or _is_not_alive
+
+    def was_requested_by_successor(self, now: float) -> bool:
+        """Return whether the pause applies to the process that has replaced the known one.
+
+        A process may request it before its record arrives. Its predecessor has ended by then.
+        """
+        return self.is_active(now) and self._is_requester_alive()
 
     def is_active(self, now: float) -> bool:
         """Return whether nothing may be sent now."""
@@ -46,6 +60,10 @@
             self._awaits_answer = False
 
 
+def _is_not_alive() -> bool:
+    return False
+
+
 class Backoffs:
     """The pauses requested from one daemon by all back ends."""
 
@@ -60,6 +78,14 @@
             self._table.store(record.instance, record.started_at_ms, found)
         return found
 
+    def note_restart(self, record: BackEndRecord, now: float) -> None:
+        """Apply a pause to a new process if that process has requested it."""
+        known = self._table.latest(record.instance)
+        if known is None or self._table.find(record.instance, record.started_at_ms) is not None:
+            return
+        if known.was_requested_by_successor(now):
+            self.of(record).extend(known.until)
+
     def first_end(self, records: Iterable[BackEndRecord]) -> float:
         """Return the monotonic time at which the first pause of several back ends ends."""
         return min((self.of(each).until for each in records), default=float("-inf"))
--- a/packages/kitekeel-steering/src/kitekeel_steering/process_table.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/process_table.py
@@ -45,6 +45,11 @@
             entry.started_at_ms = started_at_ms
         return entry.value
 
+    def latest(self, instance: str) -> Value | None:
+        """Return the value of the latest process of a back end, or ``None`` if there is none."""
+        entry = self._entries.get(instance)
+        return entry.value if entry is not None else None
+
     def store(self, instance: str, started_at_ms: int, value: Value) -> bool:
         """Store the value of a process; return ``False`` if a later process is known."""
         entry = self._entries.get(instance)
--- a/tests/test_back_end_announcements.py
+++ b/tests/test_back_end_announcements.py
@@ -284,7 +284,7 @@
         first.retry_after = "60"
         assert (await ask(gateway.callers, "/unsafe/x", "unsafe-asked"))[0] == 503
         first.retry_after = ""
-        first.record = msgspec.structs.replace(first.record, started_at_ms=9_000)
+        await first.restart(9_000)
         await network.store.put_back_end(first.record)
         # It is cold, so that its warm-up rate decides when the first request may be sent.
         served_at = time.monotonic() + 2.5
@@ -295,3 +295,24 @@
         assert 200 in statuses
 
     play(scenario)
+
+
+def test_a_pause_that_a_new_process_asks_for_before_its_record_is_known_is_kept() -> None:
+    async def scenario() -> None:
+        network, servers = await announcing_fleet(gateways=1, back_ends=1)
+        gateway, first = gateways()[0], servers[0]
+        first.record = msgspec.structs.replace(first.record, started_at_ms=1_000)
+        await network.store.put_back_end(first.record)
+        assert (await ask(gateway.callers, "/safe/x", "safe-first"))[0] == 200
+        await first.restart(9_000)
+        first.retry_after = "2"
+        assert (await ask(gateway.callers, "/unsafe/x", "unsafe-asked"))[0] == 503
+        first.retry_after = ""
+        await network.store.put_back_end(first.record)
+        arrived = len(first.arrivals)
+        for number in range(15):
+            await asyncio.sleep(0.1)
+            assert (await ask(gateway.callers, "/unsafe/x", f"unsafe-{number}"))[0] == 503
+        assert len(first.arrivals) == arrived
+
+    play(scenario)
--- a/tests/test_leaving_back_ends.py
+++ b/tests/test_leaving_back_ends.py
@@ -3,7 +3,8 @@
 import msgspec
 from gateway_stand_ins import NAMES
 
-from kitekeel_daemon.announcement_reader import AnnouncementReader, AnswerHead
+from kitekeel_daemon.announcement_reader import AnnouncementReader
+from kitekeel_daemon.answer_head import AnswerHead
 from kitekeel_daemon.backoff_tracker import BackoffTracker
 from kitekeel_daemon.decision_log import DecisionLog
 from kitekeel_daemon.gateway_metrics import GatewayMetrics
