Keep a pause over several restarts that become known at once

Its records of two restarts arrived together; the pause that the last process had asked for passed to the first new one, without what tells whether its requester is alive, and was forgotten with it. That passes on too now.

test_backoffs: the new test failed before, all pass now.

--- a/packages/kitekeel-steering/src/kitekeel_steering/backoffs.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/backoffs.py
@@ -23,7 +23,7 @@
     def __init__(self) -> None:
         self.until = float("-inf")
         self._awaits_answer = False
-        self._is_requester_alive: Callable[[], bool] = _is_not_alive
+        self.is_requester_alive: Callable[[], bool] = _is_not_alive
 
     def extend(self, until: float, is_requester_alive: Callable[[], bool] | None = None) -> None:
         """Extend the pause; an earlier end than the current one has no effect.
@@ -35,14 +35,14 @@
         if until > self.until:
             self.until = until
             self._awaits_answer = True
-            self._is_requester_alive = is_requester_alive or _is_not_alive
+            self.is_requester_alive = is_requester_alive or _is_not_alive
 
     def was_requested_by_successor(self, now: float) -> bool:
         """Return whether the pause applies to the process that has replaced the known one.
 
         A process may request it before its record arrives. Its predecessor has ended by then.
         """
-        return self.is_active(now) and self._is_requester_alive()
+        return self.is_active(now) and self.is_requester_alive()
 
     def is_active(self, now: float) -> bool:
         """Return whether nothing may be sent now."""
@@ -84,7 +84,7 @@
         if known is None or self._table.find(record.instance, record.started_at_ms) is not None:
             return
         if known.was_requested_by_successor(now):
-            self.of(record).extend(known.until)
+            self.of(record).extend(known.until, known.is_requester_alive)
 
     def first_end(self, records: Iterable[BackEndRecord]) -> float:
         """Return the monotonic time at which the first pause of several back ends ends."""
--- a/tests/test_backoffs.py
+++ b/tests/test_backoffs.py
@@ -111,3 +111,11 @@
     placement = policy.choose(request(), of(*members), NOW, lambda _: True)
     assert placement.candidate is not paused
     assert placement.cause is PlacementCause.FIRST_BACKING_OFF
+
+
+def test_a_pause_passes_over_several_restarts_that_become_known_at_once() -> None:
+    backoffs = Backoffs()
+    backoffs.of(record(1_000)).extend(NOW + 3.0, lambda: True)
+    for started_at_ms in (2_000, 3_000):
+        backoffs.note_restart(record(started_at_ms), NOW)
+    assert backoffs.of(record(3_000)).is_active(NOW)
