--- a/tests/soak/test_gateway_soak.py
+++ b/tests/soak/test_gateway_soak.py
@@ -18,7 +18,8 @@
 #  6111: a stopping daemon closed while a connection was being accepted, and cut its request.
 #  6131, 6138: a pause was forgotten that a new process had asked for before its record was known.
 #  6139: requests were put down to another daemon whose connection had the same local port.
-_FAILED_SEEDS_OF_ALL_FAULTS = [6111, 6131, 6138, 6139]
+#  6223: requests in pauses while a back end starts again several times.
+_FAILED_SEEDS_OF_ALL_FAULTS = [6111, 6131, 6138, 6139, 6223]
 
 
 @pytest.mark.parametrize("seed", [2, *_FAILED_SEEDS])
