Keep a pause although the first of several restarts closes its connection

The first closes the idle connections to its address, among them the one that had brought the pause, so that at the second its requester seemed to have ended.

A pause that has passed to a new process passes on for as long as further records of restarts may arrive, as one that another daemon told.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/backoff_tracker.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/backoff_tracker.py
@@ -98,11 +98,9 @@
             return
         self._metrics.increment("back-ends.backoff-notices")
         self._log_start(record, notice.seconds, notice.sender, "", "")
-        now = self._clock.monotonic()
+        until = self._clock.monotonic() + notice.seconds
         # The process that requested the pause may be newer than the record known here.
-        self.pauses.of(record).extend(
-            now + notice.seconds, lambda: self._clock.monotonic() - now < _RECORD_DELAY_SECONDS
-        )
+        self.pauses.of(record).extend(until, self._is_recent())
         if notice.is_from_relay:
             return
         others = set(self._daemons_relayed_to(record.instance)) - {notice.sender}
@@ -111,7 +109,15 @@
     def on_change(self, change: ViewChange) -> None:
         """Apply a pause to a restarted back end if its new process has requested it."""
         if change.is_restart and change.item.back_end is not None:
-            self.pauses.note_restart(change.item.back_end, self._clock.monotonic())
+            # The restart closes the connection that told of the pause, and another may be known
+            # at once.
+            now = self._clock.monotonic()
+            self.pauses.note_restart(change.item.back_end, now, self._is_recent())
+
+    def _is_recent(self) -> Callable[[], bool]:
+        """Return a function that tells whether the record of a newer process may still arrive."""
+        since = self._clock.monotonic()
+        return lambda: self._clock.monotonic() - since < _RECORD_DELAY_SECONDS
 
     def _log_start(
         self, record: BackEndRecord, seconds: float, source: str, answered: str, relay: str
--- a/packages/kitekeel-steering/src/kitekeel_steering/backoffs.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/backoffs.py
@@ -78,13 +78,21 @@
             self._table.store(record.instance, record.started_at_ms, found)
         return found
 
-    def note_restart(self, record: BackEndRecord, now: float) -> None:
-        """Apply a pause to a new process if that process has requested it."""
+    def note_restart(
+        self, record: BackEndRecord, now: float, is_requester_alive: Callable[[], bool]
+    ) -> None:
+        """Apply a pause to a new process if that process has requested it.
+
+        Args:
+            record: the record of the new process.
+            now: monotonic time in seconds.
+            is_requester_alive: tells for a further restart whether the requester may still run.
+        """
         known = self._table.latest(record.instance)
         if known is None or self._table.find(record.instance, record.started_at_ms) is not None:
             return
         if known.was_requested_by_successor(now):
-            self.of(record).extend(known.until, known.is_requester_alive)
+            self.of(record).extend(known.until, is_requester_alive)
 
     def first_end(self, records: Iterable[BackEndRecord]) -> float:
         """Return the monotonic time at which the first pause of several back ends ends."""
--- a/tests/test_backoffs.py
+++ b/tests/test_backoffs.py
@@ -5,6 +5,7 @@
 import pytest
 from test_affinity_policy import NOW, candidate, choose, of, policy_in, request
 
+from kitekeel_daemon.answer_head import AnswerHead
 from kitekeel_daemon.answer_headers import MAX_BACKOFF_SECONDS, read_backoff
 from kitekeel_daemon.backoff_tracker import BackoffTracker
 from kitekeel_daemon.decision_log import DecisionLog
@@ -14,7 +15,7 @@
 from kitekeel_steering.backoffs import Backoff, Backoffs
 from kitekeel_steering.clock import ManualClock
 from kitekeel_steering.fleet_items import BackEndRecord, ItemKind, ViewItem
-from kitekeel_steering.fleet_view import FleetView
+from kitekeel_steering.fleet_view import FleetView, ViewChange
 from kitekeel_steering.placement_policy import PlacementCause, RefusalReason
 
 
@@ -117,5 +118,18 @@
     backoffs = Backoffs()
     backoffs.of(record(1_000)).extend(NOW + 3.0, lambda: True)
     for started_at_ms in (2_000, 3_000):
-        backoffs.note_restart(record(started_at_ms), NOW)
+        backoffs.note_restart(record(started_at_ms), NOW, lambda: True)
     assert backoffs.of(record(3_000)).is_active(NOW)
+
+
+def test_a_pause_outlasts_the_connection_that_the_first_of_several_restarts_closes() -> None:
+    view, clock = FleetView(ManualClock()), ManualClock()
+    tracker = BackoffTracker(view, clock, GatewayMetrics(), DecisionLog("g0"), lambda _: ())
+    is_open = [True]
+    head = AnswerHead(record(), 503, (), is_connection_open=lambda: is_open[0])
+    tracker.note_requested(record(), 3.0, head)
+    for started_at_ms in (2_000, 3_000):
+        item = ViewItem(ItemKind.BACK_END, "b0", 2, back_end=record(started_at_ms))
+        tracker.on_change(ViewChange(item, "store", 0.0, is_restart=True))
+        is_open[0] = False
+    assert tracker.pauses.of(record(3_000)).is_active(clock.monotonic())
