--- a/packages/kitekeel-daemon/src/kitekeel_daemon/fleet_follower.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/fleet_follower.py
@@ -238,6 +238,7 @@
                 changes=len(answer.found.items),
                 held=answer.held,
                 seconds=round(answer.seconds, 3),
+                era=answer.found.era,
             )
         )
 
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/view_changes.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/view_changes.py
@@ -12,9 +12,10 @@
 from kitekeel_daemon.link_monitor import LinkMonitor
 from kitekeel_daemon.process_ends import ProcessEndDetector
 from kitekeel_daemon.running_exchanges import RunningExchanges
-from kitekeel_steering.fleet_items import ItemKind
-from kitekeel_steering.fleet_view import ViewChange
-from kitekeel_steering.log_messages import ViewChanged
+from kitekeel_platform.fleet_sync import STORE_SOURCE
+from kitekeel_steering.fleet_items import ItemKind, ViewItem
+from kitekeel_steering.fleet_view import IgnoredItem, ViewChange
+from kitekeel_steering.log_messages import StoreChangeIgnored, ViewChanged
 
 
 class ViewChanges:
@@ -51,7 +52,7 @@
             self._metrics.increment("view.back-ends-removed")
         self._log.state(
             ViewChanged(
-                item=f"{item.kind.name.lower()} {item.name}".strip(),
+                item=_describe(item),
                 revision=item.revision,
                 source=change.source,
                 removed=item.removed,
@@ -61,3 +62,21 @@
                 restarted=change.is_restart,
             )
         )
+
+    def on_ignored(self, ignored: IgnoredItem) -> None:
+        """Count and log an item of the store that is older than the known one.
+
+        Late messages of other daemons are routinely older, and are not logged.
+        """
+        if ignored.source != STORE_SOURCE:
+            return
+        self._metrics.increment("view.store-changes-ignored")
+        self._log.state(
+            StoreChangeIgnored(
+                _describe(ignored.item), ignored.item.revision, ignored.known.revision
+            )
+        )
+
+
+def _describe(item: ViewItem) -> str:
+    return f"{item.kind.name.lower()} {item.name}".strip()
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -16,7 +16,7 @@
     PartUpdate,
     ViewItem,
 )
-from kitekeel_steering.fleet_view import FleetView
+from kitekeel_steering.fleet_view import FleetView, IgnoredItem
 from kitekeel_steering.routing import Route, RouteTable, RoutingConfiguration, WeightedService
 
 
@@ -255,3 +255,11 @@
     assert fingerprint(view) == 0
     view.merge([removal], "store")
     assert fingerprint(view) == fingerprint(complete_view(back_end("b", 3))) != 0
+
+
+def test_a_change_that_is_older_than_the_known_one_is_reported_as_ignored() -> None:
+    ignored: list[IgnoredItem] = []
+    view = FleetView(ManualClock(), on_ignored=ignored.append)
+    view.merge([back_end("a", 5)], "store")
+    view.merge([back_end("a", 5), back_end("a", 3)], "store")
+    assert [(each.item.revision, each.known.revision) for each in ignored] == [(3, 5)]
