Show that changes are ignored after the store was restored from a copy

Callers saw requests handled by version 20 more than 2.5 s after version 22 was acknowledged, and requests outside their home regions.

--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections import Counter
 
+import msgspec
+
 from kitekeel_platform.fleet_store import (
     FleetItems,
     HistoryLostError,
@@ -17,6 +19,17 @@
 from kitekeel_steering.routing import RoutingConfiguration
 
 
+class StoreCopy(msgspec.Struct, frozen=True):
+    """A copy of a store, from which it may be restored."""
+
+    revision: int
+    oldest: int
+    items: dict[tuple[ItemKind, str], ViewItem]
+    history: list[ViewItem]
+    daemons: dict[str, RegisteredDaemon]
+    crash_records: dict[str, StoredCrashRecord]
+
+
 class MemoryStore:
     """The platform's store as one object; daemons may be turned away by name.
 
@@ -24,9 +37,11 @@
         is_silent: watches that are sent now get no answer, also once the store is back.
         deaf: the next watch of a daemon on a part is kept waiting although there may be news, until
             the part's next change after its begin.
+        era: how often the store was restored from a copy, from 1.
     """
 
     def __init__(self) -> None:
+        self.era = 1
         self.revision = 0
         self.items: dict[tuple[ItemKind, str], ViewItem] = {}
         self.history: list[ViewItem] = []
@@ -75,6 +90,26 @@
             self.history.clear()
             self.changed.notify_all()
 
+    def copy(self) -> StoreCopy:
+        return StoreCopy(
+            self.revision,
+            self.oldest,
+            dict(self.items),
+            list(self.history),
+            dict(self.daemons),
+            dict(self.crash_records),
+        )
+
+    async def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy: what was written since is gone, and its revisions are reused."""
+        async with self.changed:
+            self.era += 1
+            self.revision, self.oldest = copy.revision, copy.oldest
+            self.items, self.history = dict(copy.items), list(copy.history)
+            self.daemons, self.crash_records = dict(copy.daemons), dict(copy.crash_records)
+            self.cuts += 1
+            self.changed.notify_all()
+
     def has_changed(self, part: FleetPart, after: int) -> bool:
         """Tell whether anything of a part was written or removed after a revision."""
         return bool(self.changes(part, after))
@@ -147,14 +182,18 @@
         self._check()
         if is_cut:
             raise PlatformUnavailableError("the watch was cut")
-        if after < self._store.oldest:
+        if self._has_lost(after):
             raise HistoryLostError("history lost")
         found = self._store.changes(part, after)
         return FleetItems(tuple(found), found[-1].revision)
 
     def _is_refused(self, after: int) -> bool:
         """Tell whether a watch is to end without an answer: its history or its store is gone."""
-        return after < self._store.oldest or self._name in self._store.turned_away
+        return self._has_lost(after) or self._name in self._store.turned_away
+
+    def _has_lost(self, after: int) -> bool:
+        """Tell whether a watch cannot start after a revision, which the store may not have yet."""
+        return not self._store.oldest <= after <= self._store.revision
 
     async def probe(self, seconds: float) -> None:
         self._check()
