--- a/tests/soak/gateway_soak.py
+++ b/tests/soak/gateway_soak.py
@@ -78,6 +78,7 @@
         has_crashes: whether one caller sends a request that ends each back end that runs it.
         has_link_cuts: whether some daemons lose their links to all back ends.
         has_announcements: whether back ends announce their end, or ask for pauses.
+        has_restores: whether the store comes back from copies.
     """
 
     def __init__(
@@ -90,7 +91,9 @@
         has_crashes: bool,
         has_link_cuts: bool,
         has_announcements: bool,
+        has_restores: bool,
     ) -> None:
+        self._has_restores = has_restores
         self._has_announcements = has_announcements
         self._has_link_cuts = has_link_cuts
         self._has_crashes = has_crashes
@@ -122,6 +125,7 @@
                 self._has_restarts,
                 self._has_link_cuts,
                 self._has_announcements,
+                self._has_restores,
             )
             await faults.run(self._seconds)
             await fleet.write_records()
@@ -268,6 +272,7 @@
     has_crashes: bool = False,
     has_link_cuts: bool = False,
     has_announcements: bool = False,
+    has_restores: bool = False,
 ) -> SoakReport:
     """Run one soak and return its report."""
     folder.mkdir(parents=True, exist_ok=True)
@@ -280,6 +285,7 @@
         has_crashes,
         has_link_cuts,
         has_announcements,
+        has_restores,
     )
     return asyncio.run(played.run())
 
@@ -294,6 +300,7 @@
     crashes: bool = True,
     link_cuts: bool = True,
     announcements: bool = True,
+    restores: bool = True,
 ) -> int:
     """Run soaks of several seeds one after the other; the exit status tells of breaches.
 
@@ -305,6 +312,7 @@
     :param crashes: one caller sends a request that ends each back end that runs it, too.
     :param link_cuts: some daemons lose their links to all back ends, too.
     :param announcements: back ends announce their end, or ask for pauses, too.
+    :param restores: the store comes back from copies, too.
     """
     failed = 0
     folder = Path(tempfile.mkdtemp(prefix="gateway-soak-"))
@@ -318,6 +326,7 @@
             crashes,
             link_cuts,
             announcements,
+            restores,
         )
         print(
             f"seed {seed}: {report.requests} requests, {report.succeeded:.1%} succeeded, ", end=""
--- a/tests/soak/soak_faults.py
+++ b/tests/soak/soak_faults.py
@@ -7,6 +7,7 @@
 
 from soak_back_end import SoakBackEnd
 from soak_fleet import SoakFleet
+from store_stand_in import StoreCopy
 
 from kitekeel_lab.fault_proxy import FaultProxy, ProxyMode, ProxyRule
 
@@ -26,6 +27,7 @@
             Seeds that once failed without draw the same faults as then.
         has_link_cuts: whether some daemons lose their links to all back ends, too.
         has_announcements: whether back ends announce their end, or ask for pauses, too.
+        has_restores: whether the store comes back from copies, too.
     """
 
     def __init__(
@@ -35,6 +37,7 @@
         has_restarts: bool = False,
         has_link_cuts: bool = False,
         has_announcements: bool = False,
+        has_restores: bool = False,
     ) -> None:
         self._fleet = fleet
         self._random = generator
@@ -63,6 +66,8 @@
         if has_announcements:
             self._kinds += [self._announce_end, self._announce_end_unrecorded]
             self._kinds += [self._ask_for_pause, self._ask_for_pauses_of_all]
+        if has_restores:
+            self._kinds += [self._restore_store, self._restore_store_twice]
 
     async def run(self, seconds: float) -> None:
         """Inject faults for so long, then wait until each has ended."""
@@ -149,6 +154,28 @@
         await asyncio.sleep(self._random.uniform(0.2, 1.5))
         await self._fleet.write_records()
 
+    async def _restore_store(self) -> None:
+        """The store comes back from a copy; what was lost is written again after a while."""
+        copy = self._fleet.store.copy()
+        await self._pause()
+        await self._restore_from(copy)
+        await self._fleet.write_again()
+
+    async def _restore_store_twice(self) -> None:
+        copy = self._fleet.store.copy()
+        await self._pause()
+        await self._restore_from(copy)
+        await self._fleet.write_configuration()
+        await self._restore_from(copy)
+        await self._fleet.write_again()
+
+    async def _restore_from(self, copy: StoreCopy) -> None:
+        self._fleet.store.is_silent = True
+        await asyncio.sleep(self._random.uniform(0.0, 1.0))
+        await self._fleet.store.restore(copy)
+        self._fleet.store.is_silent = False
+        await asyncio.sleep(self._random.uniform(0.0, 2.0))
+
     async def _lose_answers(self) -> None:
         back_end = self._random.choice(self._fleet.back_ends)
         back_end.answers_lost = self._random.uniform(0.1, 1.0)
--- a/tests/soak/soak_fleet.py
+++ b/tests/soak/soak_fleet.py
@@ -40,6 +40,7 @@
 
     def __init__(self, folder: Path, daemons: int, back_ends: int) -> None:
         self.store = StoreStandIn(free_address())
+        self.store.era = "1"
         self.runs: list[Run] = []
         self.version = 0
         self._started_at = self.now()
@@ -63,6 +64,7 @@
         self.store_proxies: list[FaultProxy] = []
         self._states: dict[str, str] = {}
         self._restarting: set[str] = set()
+        self._evacuated: set[str] = set()
 
     @staticmethod
     def now() -> float:
@@ -142,9 +144,19 @@
             for each in noted:
                 each.end = self.now()
 
+    async def write_again(self) -> None:
+        """Write what the operator and the back ends have written, as after a restore."""
+        await self.write_configuration_again()
+        await self.write_records()
+        for zone in self._evacuated:
+            await self.evacuate(zone)
+
     async def write_configuration(self) -> None:
         """Write the next version; it adds a route of its own, to see which one is in force."""
         self.version += 1
+        await self.write_configuration_again()
+
+    async def write_configuration_again(self) -> None:
         routes = [_route("safe", 2), _route("unsafe", 1), _route(f"v{self.version}", 2)]
         service = {
             "entry_kind": "services",
@@ -182,9 +194,11 @@
             await self.store.remove(f"servers/{back_end.instance}")
 
     async def evacuate(self, zone: str) -> None:
+        self._evacuated.add(zone)
         await self.store.put(f"op/evacuate/{zone}", b"{}")
 
     async def end_evacuation(self, zone: str) -> None:
+        self._evacuated.discard(zone)
         await self.store.remove(f"op/evacuate/{zone}")
 
     async def _is_ready(self, daemon: SoakDaemon) -> bool:
--- a/tests/soak/test_gateway_soak.py
+++ b/tests/soak/test_gateway_soak.py
@@ -62,6 +62,21 @@
     assert not report.breaches, (report.breaches, report.faults)
 
 
+def test_a_short_soak_with_restores_of_the_store_breaks_no_promise(tmp_path: Path) -> None:
+    report = soak(
+        17,
+        12.0,
+        tmp_path,
+        has_restarts=True,
+        has_link_cuts=True,
+        has_announcements=True,
+        has_restores=True,
+    )
+    assert report.requests > 500
+    assert any("restore_store" in each for each in report.faults)
+    assert not report.breaches, (report.breaches, report.faults)
+
+
 @pytest.mark.parametrize("seed", _FAILED_SEEDS_OF_ALL_FAULTS)
 def test_a_short_soak_with_all_kinds_of_faults_breaks_no_promise(seed: int, tmp_path: Path) -> None:
     report = soak(
