--- a/tests/test_fleet_sync.py
+++ b/tests/test_fleet_sync.py
@@ -276,3 +276,55 @@
 
 def view_is_complete(view: FleetView) -> Callable[[], bool]:
     return lambda: view.is_complete(FleetPart.BACK_ENDS)
+
+
+def in_era(era: int, found: FleetItems) -> FleetItems:
+    items = tuple(msgspec.structs.replace(each, era=era) for each in found.items)
+    return msgspec.structs.replace(found, items=items, era=era)
+
+
+async def _followed(script: Script) -> FleetView:
+    """Follow a script to its end; return the view right after."""
+    view = FleetView(SystemClock())
+    contact = StoreContact(SystemClock(), CALM_HEARTBEAT_SECONDS)
+    task = asyncio.create_task(back_ends_sync(script, view, [], contact=contact).run())
+    await _until(lambda: not script)
+    await asyncio.sleep(0.05)
+    task.cancel()
+    return view
+
+
+def test_a_watch_answered_in_a_later_era_does_not_continue_the_former_one() -> None:
+    changed = in_era(2, FleetItems((written("a", 20, draining=True),), 20))
+    read = in_era(2, FleetItems((written("a", 20, draining=True), written("b", 1)), 20))
+    view = asyncio.run(_followed([in_era(1, first_read()), changed, read]))
+    assert view.era(FleetPart.BACK_ENDS) == 2
+    record = view.find_back_end("a")
+    assert record is not None and record.draining
+    # The others were known before and may only not have been written again yet.
+    assert set(view.back_ends("search")) == set(NAMES)
+
+
+def test_an_answer_of_an_earlier_era_that_comes_late_changes_nothing() -> None:
+    late = in_era(1, FleetItems((gone("a", 90), gone("b", 91)), 91))
+    read = in_era(2, first_read())
+    view = asyncio.run(
+        _followed([in_era(1, first_read()), in_era(2, FleetItems((), 1)), read, late])
+    )
+    assert set(view.back_ends("search")) == set(NAMES)
+    assert view.extent(FleetPart.BACK_ENDS).era == 2
+
+
+def test_a_removal_held_before_a_restore_does_not_remove_what_the_copy_has() -> None:
+    script: Script = [
+        in_era(1, first_read()),
+        StoreDownError("away"),
+        HistoryLostError("compacted"),
+        StoreDownError("away"),
+        in_era(1, FleetItems(tuple(written(each, 1) for each in "bcd"), 9)),
+        in_era(2, FleetItems((), 1)),
+        in_era(2, first_read()),
+    ]
+    seen = observe(script)
+    assert seen.held == 1
+    assert seen.after_hold == set(NAMES)
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -3,6 +3,7 @@
 import random
 import time
 
+import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -16,7 +17,7 @@
     PartUpdate,
     ViewItem,
 )
-from kitekeel_steering.fleet_view import FleetView, IgnoredItem
+from kitekeel_steering.fleet_view import FleetView, IgnoredItem, RestoreNoticed
 from kitekeel_steering.routing import Route, RouteTable, RoutingConfiguration, WeightedService
 
 
@@ -263,3 +264,73 @@
     view.merge([back_end("a", 5)], "store")
     view.merge([back_end("a", 5), back_end("a", 3)], "store")
     assert [(each.item.revision, each.known.revision) for each in ignored] == [(3, 5)]
+
+
+KEPT_SECONDS = 5.0
+EVACUATION_SECONDS = 30.0
+
+
+def restored_view(clock: ManualClock, restores: list[RestoreNoticed]) -> FleetView:
+    """Return a view that knows a back end and an evacuation which a restored store lacks."""
+    view = FleetView(clock, on_restore=restores.append, record_seconds=KEPT_SECONDS)
+    for part, item in (
+        (FleetPart.BACK_ENDS, back_end("a", 90)),
+        (FleetPart.CONFIGURATION, evacuation("n1", 90)),
+    ):
+        known = msgspec.structs.replace(item, era=1)
+        view.apply_update(PartUpdate(part, 0, Extent(90, 90, 1), (known,), True), "store")
+        view.apply_update(PartUpdate(part, 0, Extent(70, 0, 2), (), True), "store")
+    return view
+
+
+def let_pass(view: FleetView, clock: ManualClock, seconds: float, in_contact: bool = True) -> None:
+    for _ in range(round(seconds)):
+        clock.advance(1.0)
+        if in_contact:
+            view.confirm()
+        view.drop_unconfirmed()
+
+
+def test_what_a_restored_store_lacks_is_kept_and_told_then_dropped() -> None:
+    clock, restores = ManualClock(), list[RestoreNoticed]()
+    view = restored_view(clock, restores)
+    assert [[each.name for each in restore.kept] for restore in restores] == [["a"], ["n1"]]
+    assert view.find_back_end("a") is not None and view.evacuated_zones == {"n1"}
+    let_pass(view, clock, KEPT_SECONDS + 1.0)
+    assert view.find_back_end("a") is None and view.evacuated_zones == {"n1"}
+    let_pass(view, clock, EVACUATION_SECONDS)
+    assert not view.evacuated_zones
+
+
+def test_what_a_restored_store_lacks_is_kept_while_the_store_is_out_of_reach() -> None:
+    clock = ManualClock()
+    view = restored_view(clock, [])
+    let_pass(view, clock, 60.0, in_contact=False)
+    assert view.find_back_end("a") is not None and view.evacuated_zones == {"n1"}
+
+
+def test_what_is_kept_reaches_a_daemon_that_read_the_copy_and_so_does_its_end() -> None:
+    clock, other_clock = ManualClock(), ManualClock()
+    view = restored_view(clock, [])
+    other = FleetView(other_clock, record_seconds=60.0)
+    for part in FleetPart:
+        other.apply_update(PartUpdate(part, 0, Extent(70, 0, 2), (), True), "store")
+        other.apply_update(view.update_for(part, other.knowledge(part)), "peer")
+    assert other.find_back_end("a") is not None and other.evacuated_zones == {"n1"}
+    assert other.progress == view.progress
+    let_pass(view, clock, KEPT_SECONDS + 1.0)
+    part = FleetPart.BACK_ENDS
+    other.apply_update(view.update_for(part, other.knowledge(part)), "peer")
+    assert other.find_back_end("a") is None
+
+
+def test_a_daemon_that_noticed_no_restore_for_long_brings_nothing_back() -> None:
+    clock = ManualClock()
+    view = restored_view(clock, [])
+    let_pass(view, clock, KEPT_SECONDS + EVACUATION_SECONDS + 1.0)
+    late = [msgspec.structs.replace(each, era=1) for each in (back_end("b", 95), back_end("a", 96))]
+    late_zone = msgspec.structs.replace(evacuation("n1", 97), era=1)
+    part = FleetPart.BACK_ENDS
+    view.apply_update(PartUpdate(part, 90, Extent(97, 97, 1), tuple(late)), "peer")
+    view.merge([late_zone], "peer")
+    assert not view.all_back_ends() and not view.evacuated_zones
