--- a/packages/kitekeel-peers/src/kitekeel_peers/news_feed.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/news_feed.py
@@ -169,10 +169,10 @@
                     NewsReceipt,
                     _TIMEOUT_SECONDS,
                 )
-                if not _has_advanced(receipt.known, subscriber.known):
+                former, subscriber.known = subscriber.known, receipt.known
+                if not _has_advanced(receipt.known, former):
                     # It lacks earlier changes, which its next request will fetch.
                     return
-                subscriber.known = receipt.known
         except PeerError as error:
             self._on_failure(address, error.message)
         finally:
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -17,7 +17,7 @@
     PartUpdate,
     ViewItem,
 )
-from kitekeel_steering.fleet_view import FleetView, IgnoredItem, RestoreNoticed
+from kitekeel_steering.fleet_view import FleetView, IgnoredItem, RestoreNoticed, ViewChange
 from kitekeel_steering.routing import Route, RouteTable, RoutingConfiguration, WeightedService
 
 
@@ -334,3 +334,23 @@
     view.apply_update(PartUpdate(part, 90, Extent(97, 97, 1), tuple(late)), "peer")
     view.merge([late_zone], "peer")
     assert not view.all_back_ends() and not view.evacuated_zones
+
+
+def test_a_record_written_again_in_one_era_counts_as_changed() -> None:
+    changes: list[ViewChange] = []
+    view = FleetView(ManualClock(), changes.append)
+    view.merge([back_end("a", 3), back_end("a", 4)], "store")
+    assert len(changes) == 2
+
+
+def test_a_restore_that_changes_nothing_reports_no_change() -> None:
+    changes: list[ViewChange] = []
+    restores: list[RestoreNoticed] = []
+    view = FleetView(ManualClock(), changes.append, on_restore=restores.append)
+    for era in (1, 2):
+        item = msgspec.structs.replace(back_end("a", 3), era=era)
+        view.apply_update(
+            PartUpdate(FleetPart.BACK_ENDS, 0, Extent(5, 3, era), (item,), True), "store"
+        )
+    assert len(changes) == 1
+    assert [(each.former.era, each.extent.era, each.kept) for each in restores] == [(1, 2, ())]
