--- a/packages/kitekeel-lab/src/kitekeel_lab/platform_server.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/platform_server.py
@@ -50,8 +50,8 @@
 class PlatformStandIn:
     """The WSGI application."""
 
-    def __init__(self) -> None:
-        self._store = PlatformStore()
+    def __init__(self, store: PlatformStore | None = None) -> None:
+        self._store = store or PlatformStore()
         self._faults = PlatformFaults()
         self._budget: RateBudget | None = None
         self._lists: list[tuple[float, bytes]] = [(0.0, msgspec.json.encode(MachineList()))]
@@ -146,9 +146,9 @@
             self._counts[kind] += 1
 
 
-def serve_platform(address: str) -> HttpServer:
+def serve_platform(address: str, store: PlatformStore | None = None) -> HttpServer:
     """Start the stand-in on an address."""
-    server = HttpServer(address, PlatformStandIn(), _LIMITS)
+    server = HttpServer(address, PlatformStandIn(store), _LIMITS)
     server.start()
     return server
 
--- a/packages/kitekeel-lab/src/kitekeel_lab/platform_store.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/platform_store.py
@@ -47,6 +47,17 @@
             self._changed.notify_all()
             return expected + 1
 
+    def copy(self) -> dict[str, StoredValue]:
+        """Return a copy of all values, from which the store may be restored."""
+        with self._changed:
+            return {key: msgspec.structs.replace(each) for key, each in self._values.items()}
+
+    def restore(self, copy: dict[str, StoredValue]) -> None:
+        """Come back from a copy; later writes are gone, and their versions are given out again."""
+        with self._changed:
+            self._values = {key: msgspec.structs.replace(each) for key, each in copy.items()}
+            self._changed.notify_all()
+
     def _later(self, key: str, version: int) -> StoredValue | None:
         found = self._live(key)
         return found if found is not None and found.version > version else None
