kitekeeld: order configurations by the platform's era, write again what a restore lost

What operators saw (test, failing before): a command is acknowledged after the platform came back from a copy, and no daemon puts it into force, since its revision is lower than the one in force; the copy's content would have been the base of further commands.

Change: header Era of the platform, Configuration.order (era, revision) in every comparison, also between daemons (appended, so that earlier builds read the messages). A copy whose commands are known and fewer never comes into force. The watcher that finds it, or the daemon that takes the next command, writes the document in force again first; the version condition lets one of them succeed.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/daemon.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/daemon.py
@@ -141,7 +141,7 @@
             self.peer_client,
             self._clock,
             hybrid_clock,
-            lambda: (PartProgress(self.spread.revision()),),
+            lambda: (PartProgress(self.spread.order().number, era=self.spread.order().era),),
             lambda progress: self._pulls.put(progress.address),
             self._on_member,
             self._seeds,
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/operations.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/operations.py
@@ -54,7 +54,11 @@
             return CommandReply(command_id, before.revision, True, changes, (), ())
         command_id = command_id or secrets.token_hex(8)
         written = self._store.change(
-            command_id, text, lambda base: change_configuration(base, command), _WRITE_SECONDS
+            command_id,
+            text,
+            lambda base: change_configuration(base, command),
+            _WRITE_SECONDS,
+            self._spread.current,
         )
         self._recorder.add("command-accepted", f"revision {written.revision}: {text}")
         self._spread.adopt(written)
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/platform_follower.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/platform_follower.py
@@ -12,6 +12,7 @@
 from kitekeel_platform.configuration_store import ConfigurationStore
 from kitekeel_platform.watchers import ConfigurationWatch, MachineListPoll
 from kitekeel_steering.errors import PlatformError
+from kitekeel_steering.model import Configuration
 
 # Polling interval. A back end that the list marks as leaving must get no new work after 3 s, not
 # counting the delay of the list itself.
@@ -67,7 +68,7 @@
     def load_configuration(self) -> None:
         """Read the configuration once."""
         try:
-            self._spread.adopt(self._store.load())
+            self._on_configuration(self._store.load())
         except PlatformError as error:
             self._note_failure(error)
 
@@ -75,8 +76,8 @@
         """Return the loops to run until the daemon stops."""
         watch = ConfigurationWatch(
             self._store,
-            self._spread.revision,
-            self._spread.adopt,
+            self._spread.order,
+            self._on_configuration,
             self._is_watcher,
             self._note_failure,
         )
@@ -89,6 +90,25 @@
         )
         return [watch.run, poll.run]
 
+    def _on_configuration(self, found: Configuration) -> None:
+        """Adopt a configuration, unless it is a copy that lacks commands in force.
+
+        Raises:
+            PlatformError: the document in force could not be written again.
+        """
+        in_force = self._spread.current()
+        if not found.is_older_copy_of(in_force):
+            self._spread.adopt(found)
+            return
+        self._recorder.add(
+            "platform-restored",
+            f"era {found.era}, revision {found.revision}; "
+            f"writing revision {in_force.revision} of era {in_force.era} again",
+        )
+        written = self._store.write_again(found, in_force)
+        if written is not None:
+            self._spread.adopt(written)
+
     def _on_machine_list(self, machine_list: MachineList) -> None:
         self._machine_list = machine_list
         self._failure = ""
--- a/packages/kitekeel-lab/src/kitekeel_lab/hollow_daemon.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/hollow_daemon.py
@@ -85,7 +85,7 @@
             self._client,
             self._clock,
             HybridClock(self._clock),
-            lambda: (PartProgress(self._spread.revision()),),
+            lambda: (PartProgress(self._spread.order().number, era=self._spread.order().era),),
             lambda progress: self._pulls.put(progress.address),
             self._on_member,
             lambda: seeds,
--- a/packages/kitekeel-lab/src/kitekeel_lab/platform_server.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/platform_server.py
@@ -61,7 +61,8 @@
     def __call__(self, environment: Environment, start_response: StartResponse) -> Iterable[bytes]:
         """Answer one call."""
         answer = self._answer(environment)
-        start_response(answer.status_line, list(answer.headers))
+        headers = [*answer.headers, ("Era", str(self._store.era))]
+        start_response(answer.status_line, headers)
         return [answer.body]
 
     def _answer(self, environment: Environment) -> BufferedAnswer:
@@ -92,7 +93,8 @@
         else:
             self._count("watches")
             wait = float(query.get("wait", ["0"])[0])
-            found = self._store.read_after(key, int(query["after"][0]), wait)
+            era = int(query.get("era", ["0"])[0])
+            found = self._store.read_after(key, int(query["after"][0]), wait, era)
             if self._faults.down:
                 return _answer(HTTPStatus.SERVICE_UNAVAILABLE)
             if found is None:
--- a/packages/kitekeel-lab/src/kitekeel_lab/platform_store.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/platform_store.py
@@ -17,9 +17,14 @@
 
 
 class PlatformStore:
-    """Versioned values in memory."""
+    """Versioned values in memory.
+
+    Attributes:
+        era: how often it has come back from a copy, from 1.
+    """
 
     def __init__(self) -> None:
+        self.era = 1
         self._values: dict[str, StoredValue] = {}
         self._changed = threading.Condition()
 
@@ -28,11 +33,18 @@
         with self._changed:
             return self._live(key)
 
-    def read_after(self, key: str, version: int, wait_seconds: float) -> StoredValue | None:
-        """Wait for a version later than the given one."""
+    def read_after(
+        self, key: str, version: int, wait_seconds: float, era: int = 0
+    ) -> StoredValue | None:
+        """Wait for a version later than the given one, or for another era than the given one."""
+
+        def found() -> StoredValue | None:
+            is_other_era = era not in (0, self.era)
+            return self._live(key) if is_other_era else self._later(key, version)
+
         with self._changed:
-            self._changed.wait_for(lambda: self._later(key, version) is not None, wait_seconds)
-            return self._later(key, version)
+            self._changed.wait_for(lambda: found() is not None, wait_seconds)
+            return found()
 
     def write(
         self, key: str, value: bytes, expected: int, lease_seconds: float | None
@@ -55,6 +67,7 @@
     def restore(self, copy: dict[str, StoredValue]) -> None:
         """Come back from a copy; later writes are gone, and their versions are given out again."""
         with self._changed:
+            self.era += 1
             self._values = {key: msgspec.structs.replace(each) for key, each in copy.items()}
             self._changed.notify_all()
 
--- a/packages/kitekeel-peers/src/kitekeel_peers/configuration_spread.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/configuration_spread.py
@@ -1,6 +1,7 @@
 """The configuration in force in this daemon, and its propagation to the others.
 
-A daemon keeps the highest revision it has seen and never reverts to a lower one. A new revision is
+A daemon keeps the latest revision it has seen, ordered by the platform's era, and never reverts to
+an earlier one, nor to the copy that a restored platform came back with. A new revision is
 propagated down a tree: each daemon pulls it, forwards the announcement to its part of the targets,
 and replies with the instances that have it. Heartbeats carry the revision, so a daemon that the
 tree missed pulls it from a neighbour that has it.
@@ -25,6 +26,7 @@
 from kitekeel_steering.clock import steady_seconds
 from kitekeel_steering.errors import PeerError
 from kitekeel_steering.model import Configuration, decode_configuration, encode_configuration
+from kitekeel_steering.store_revision import StoreRevision
 
 PULL = "Pull"
 SPREAD = "Spread"
@@ -77,6 +79,10 @@
         """Return the revision in force here."""
         return self._current.revision
 
+    def order(self) -> StoreRevision:
+        """Return the era and revision in force here."""
+        return self._current.order
+
     def adopt(self, configuration: Configuration) -> bool:
         """Put a configuration into force if it is newer than the current one.
 
@@ -84,7 +90,9 @@
         force in order, and the lower one never replaces the higher.
         """
         with self._lock:
-            if configuration.revision <= self._current.revision:
+            if configuration.order <= self._current.order:
+                return False
+            if configuration.is_older_copy_of(self._current):
                 return False
             self._current = configuration
             self._document = encode_configuration(configuration)
@@ -93,7 +101,7 @@
 
     def pull(self, address: str) -> bool:
         """Pull a newer configuration from another daemon; return whether one was adopted."""
-        request = PullRequest(self.revision())
+        request = PullRequest(self.order().number, self.order().era)
         try:
             reply = self._client.call(address, PULL, request, PullReply, _PULL_TIMEOUT_SECONDS)
         except PeerError:
@@ -105,7 +113,9 @@
         except (msgspec.MsgspecError, RecursionError) as error:
             self._on_unreadable(f"configuration of {address}: {error}")
             return False
-        return self.adopt(msgspec.structs.replace(configuration, revision=reply.revision))
+        return self.adopt(
+            msgspec.structs.replace(configuration, revision=reply.revision, era=reply.era)
+        )
 
     def spread(self, targets: Sequence[SpreadTarget], seconds: float) -> set[str]:
         """Propagate the current revision to other daemons.
@@ -132,7 +142,11 @@
                 break
             head, *rest = remaining
             request = SpreadRequest(
-                self.revision(), self._own_address, tuple(rest), seconds * _RELAY_DEADLINE_SHARE
+                self.order().number,
+                self._own_address,
+                tuple(rest),
+                seconds * _RELAY_DEADLINE_SHARE,
+                self.order().era,
             )
             try:
                 reply = self._client.call(head.peer_address, SPREAD, request, SpreadReply, seconds)
@@ -143,15 +157,17 @@
 
     def _handle_pull(self, request: PullRequest) -> PullReply:
         with self._lock:
-            if self._current.revision <= request.later_than:
-                return PullReply(self._current.revision, b"")
-            return PullReply(self._current.revision, self._document)
+            own = self._current.order
+            if own <= StoreRevision(request.era, request.later_than):
+                return PullReply(own.number, b"", own.era)
+            return PullReply(own.number, self._document, own.era)
 
     def _handle_spread(self, request: SpreadRequest) -> SpreadReply:
-        if self.revision() < request.revision:
+        announced = StoreRevision(request.era, request.revision)
+        if self.order() < announced:
             self.pull(request.source_address)
         confirmed = self.spread(request.targets, request.remaining_seconds)
-        if self.revision() < request.revision:
+        if self.order() < announced:
             confirmed.discard(self._own_instance)
         return SpreadReply(tuple(confirmed))
 
--- a/packages/kitekeel-peers/src/kitekeel_peers/messages.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/messages.py
@@ -145,9 +145,10 @@
 
 
 class PullRequest(msgspec.Struct, frozen=True, array_like=True):
-    """Requests the configuration if it is later than a revision."""
+    """Requests the configuration if it is later than a revision of an era."""
 
     later_than: int
+    era: int = 0
 
 
 class PullReply(msgspec.Struct, frozen=True, array_like=True):
@@ -155,6 +156,7 @@
 
     revision: int
     document: bytes
+    era: int = 0
 
 
 class SpreadTarget(msgspec.Struct, frozen=True, array_like=True):
@@ -171,6 +173,7 @@
     source_address: str
     targets: tuple[SpreadTarget, ...]
     remaining_seconds: float
+    era: int = 0
 
 
 class SpreadReply(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/kitekeel-platform/src/kitekeel_platform/client.py
+++ b/packages/kitekeel-platform/src/kitekeel_platform/client.py
@@ -5,6 +5,10 @@
 /v1/values/KEY?version=N`` writes if the version is still N, where 0 means that the key does not
 exist; ``ttl=S`` makes the value expire after S seconds. ``GET /v1/machines`` answers the live and
 leaving machines.
+
+The header ``Era`` rises each time the service comes back from a copy, after which it gives versions
+out again; 0 where there is none. A wait with ``era=E`` ends at once if the service is in another
+era.
 """
 
 from __future__ import annotations
@@ -38,10 +42,15 @@
 
 
 class VersionedValue(msgspec.Struct, frozen=True):
-    """A value and its version, which each write increments; version 0 means no value."""
+    """A value and its version, which each write increments; version 0 means no value.
+
+    Attributes:
+        era: how often the platform had come back from a copy; 0 if it does not say.
+    """
 
     version: int
     value: bytes
+    era: int = 0
 
 
 class Machine(msgspec.Struct, frozen=True):
@@ -92,18 +101,20 @@
         """
         response = self._read(f"/values/{quote(key)}", self._timeout_seconds)
         if response.status == _NOT_FOUND:
-            return VersionedValue(0, b"")
+            return VersionedValue(0, b"", _parse_era(response))
         return _parse_value(response)
 
-    def watch(self, key: str, after: int, wait_seconds: float) -> VersionedValue | None:
-        """Wait for a version later than the given one; ``None`` if there was none in time.
+    def watch(
+        self, key: str, after: int, wait_seconds: float, era: int = 0
+    ) -> VersionedValue | None:
+        """Wait for a version later than the given one, or another era; ``None`` if none came.
 
         Raises:
             PlatformUnavailableError: no answer.
             PlatformAnswerError: an answer that cannot be read.
             PlatformBudgetError: the budget is used up.
         """
-        query = urlencode({"after": after, "wait": wait_seconds})
+        query = urlencode({"after": after, "wait": wait_seconds, "era": era})
         timeout = wait_seconds + _WATCH_MARGIN_SECONDS
         response = self._read(f"/values/{quote(key)}?{query}", timeout)
         if response.status in (_NOT_MODIFIED, _NOT_FOUND):
@@ -197,7 +208,12 @@
     version = _parse_version(response)
     if version is None:
         raise PlatformAnswerError("the platform answered a read without a version")
-    return VersionedValue(version, response.data)
+    return VersionedValue(version, response.data, _parse_era(response))
+
+
+def _parse_era(response: urllib3.BaseHTTPResponse) -> int:
+    stated = response.headers.get("Era", "")
+    return int(stated) if stated.isdecimal() else 0
 
 
 def _parse_version(response: urllib3.BaseHTTPResponse) -> int | None:
--- a/packages/kitekeel-platform/src/kitekeel_platform/configuration_store.py
+++ b/packages/kitekeel-platform/src/kitekeel_platform/configuration_store.py
@@ -6,6 +6,10 @@
 lost, the value is read back. If it contains the id, the write took effect. If it is at a later
 revision without the id, the write did not and can no longer take effect. If it is still at N, the
 same write is repeated.
+
+When the platform comes back from a copy, it lacks commands that are in force. Whoever finds that
+writes the document in force again, before anything else is changed. Only one such write succeeds,
+since each depends on the version of the copy.
 """
 
 from __future__ import annotations
@@ -30,6 +34,7 @@
     Configuration,
     encode_configuration,
 )
+from kitekeel_steering.store_revision import StoreRevision
 
 _INITIAL_BACKOFF_SECONDS = 0.05
 _MAX_BACKOFF_SECONDS = 0.5
@@ -51,17 +56,36 @@
         """
         return _decode(self._client.read(CONFIGURATION_KEY))
 
-    def watch(self, after: int, wait_seconds: float) -> Configuration | None:
-        """Wait for a revision later than the given one.
+    def watch(self, after: StoreRevision, wait_seconds: float) -> Configuration | None:
+        """Wait for a revision later than the given one, or one of another era.
 
         Raises:
             PlatformError: the platform does not answer.
         """
-        found = self._client.watch(CONFIGURATION_KEY, after, wait_seconds)
+        found = self._client.watch(CONFIGURATION_KEY, after.number, wait_seconds, after.era)
         return _decode(found) if found is not None else None
 
+    def write_again(self, copy: Configuration, in_force: Configuration) -> Configuration | None:
+        """Write the document in force over an older copy that the platform came back with.
+
+        Returns:
+            The document as written, or ``None`` if another write came first.
+
+        Raises:
+            PlatformError: the platform does not answer; the write may have been applied.
+        """
+        document = msgspec.structs.replace(in_force, revision=copy.revision + 1, era=copy.era)
+        content = encode_configuration(document)
+        version = self._client.write(CONFIGURATION_KEY, content, copy.revision)
+        return document if version is not None else None
+
     def change(
-        self, command_id: str, text: str, change: Change, deadline_seconds: float
+        self,
+        command_id: str,
+        text: str,
+        change: Change,
+        deadline_seconds: float,
+        in_force: Callable[[], Configuration] = Configuration,
     ) -> Configuration:
         """Apply one command to the document.
 
@@ -70,6 +94,7 @@
             text: the command as entered, stored in its record.
             change: returns the changed document, or raises ``ConfigurationError``.
             deadline_seconds: how long to keep trying.
+            in_force: returns the document in force, which the platform may have lost.
 
         Returns:
             The document that contains the command.
@@ -85,10 +110,11 @@
         base: Configuration | None = None
         while True:
             try:
-                current = self.load()
+                current = self._load_restored(in_force())
                 if current.find_command(command_id) is not None:
                     return current
-                if base is not None and current.revision != base.revision:
+                is_same_era = base is not None and current.era == base.era
+                if base is not None and is_same_era and current.revision != base.revision:
                     raise _conflict(base, current)
                 base = current
                 written = self._write(base, command_id, text, change)
@@ -108,6 +134,14 @@
             time.sleep(pause)
             pause = min(_MAX_BACKOFF_SECONDS, pause * 2)
 
+    def _load_restored(self, in_force: Configuration) -> Configuration:
+        """Return the stored document, after writing again what a restore has taken from it."""
+        current = self.load()
+        while current.is_older_copy_of(in_force):
+            written = self.write_again(current, in_force)
+            current = written if written is not None else self.load()
+        return current
+
     def _write(
         self, base: Configuration, command_id: str, text: str, change: Change
     ) -> Configuration | None:
@@ -125,9 +159,9 @@
 
 def _decode(found: VersionedValue) -> Configuration:
     if found.version == 0:
-        return Configuration()
+        return Configuration(era=found.era)
     configuration = read_document(found.value, Configuration)
-    return msgspec.structs.replace(configuration, revision=found.version)
+    return msgspec.structs.replace(configuration, revision=found.version, era=found.era)
 
 
 def _conflict(base: Configuration, current: Configuration) -> ConfigurationConflictError:
--- a/packages/kitekeel-platform/src/kitekeel_platform/watchers.py
+++ b/packages/kitekeel-platform/src/kitekeel_platform/watchers.py
@@ -13,6 +13,7 @@
 from kitekeel_platform.configuration_store import ConfigurationStore
 from kitekeel_steering.errors import PlatformError
 from kitekeel_steering.model import Configuration
+from kitekeel_steering.store_revision import StoreRevision
 
 _WATCH_SECONDS = 20.0
 _IDLE_SECONDS = 0.5
@@ -25,8 +26,8 @@
 
     Args:
         store: the store that holds it.
-        revision: returns the revision this daemon already has.
-        on_change: called with a later configuration.
+        order: returns the era and revision that this daemon already has.
+        on_change: called with a later configuration, or one of another era.
         is_watcher: returns whether this daemon is to watch at present.
         on_failure: called with the error if the platform did not answer or its answer could not be
             read; the previous configuration stays in use.
@@ -35,13 +36,13 @@
     def __init__(
         self,
         store: ConfigurationStore,
-        revision: Callable[[], int],
+        order: Callable[[], StoreRevision],
         on_change: Callable[[Configuration], object],
         is_watcher: Callable[[], bool],
         on_failure: Callable[[PlatformError], None],
     ) -> None:
         self._store = store
-        self._revision = revision
+        self._order = order
         self._on_change = on_change
         self._is_watcher = is_watcher
         self._on_failure = on_failure
@@ -54,10 +55,13 @@
                 stop.wait(_IDLE_SECONDS)
                 continue
             try:
-                found = self._store.watch(self._revision(), _WATCH_SECONDS)
+                found = self._store.watch(self._order(), _WATCH_SECONDS)
                 pause = _INITIAL_BACKOFF_SECONDS
                 if found is not None:
                     self._on_change(found)
+                    if found.order < self._order():
+                        # The platform is in an earlier era, or another daemon was faster.
+                        stop.wait(pause)
             except PlatformError as error:
                 self._on_failure(error)
                 stop.wait(pause)
--- a/packages/kitekeel-steering/src/kitekeel_steering/model.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/model.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from kitekeel_steering.store_revision import StoreRevision
+
 CONFIGURATION_KEY = "kitekeel/configuration"
 MAX_COMMAND_RECORDS = 200
 
@@ -131,7 +133,13 @@
 
 
 class Configuration(msgspec.Struct, frozen=True):
-    """The complete configuration, as one document whose revision only increases."""
+    """The complete configuration, as one document.
+
+    Attributes:
+        revision: the platform's version of the document, which each write increments.
+        era: how often the platform had come back from a copy, after which it gives versions out
+            again.
+    """
 
     revision: int = 0
     regions: tuple[Region, ...] = ()
@@ -141,6 +149,23 @@
     drains: tuple[Drain, ...] = ()
     shifts: tuple[Shift, ...] = ()
     commands: tuple[CommandRecord, ...] = ()
+    era: int = 0
+
+    @property
+    def order(self) -> StoreRevision:
+        """The order of the document among all that were in force."""
+        return StoreRevision(self.era, self.revision)
+
+    def is_older_copy_of(self, other: Configuration) -> bool:
+        """Return whether this is an earlier state of another document, from before a restore.
+
+        That is so if the other one records the last command of this one, and later ones.
+        """
+        if self.era <= other.era or not other.commands:
+            return False
+        if self.find_command(other.commands[-1].command_id) is not None:
+            return False
+        return not self.commands or other.find_command(self.commands[-1].command_id) is not None
 
     def find_service(self, name: str) -> Service | None:
         """Return the service with the given name, or ``None``."""
--- a/tests/test_unreadable_answers.py
+++ b/tests/test_unreadable_answers.py
@@ -35,6 +35,7 @@
 from kitekeel_steering.errors import ClaimFailedError, PlatformError, WriteOutcomeUnknownError
 from kitekeel_steering.metrics import MemoryMetrics
 from kitekeel_steering.model import Configuration, encode_configuration
+from kitekeel_steering.store_revision import StoreRevision
 
 VERSION = ("Version", "7")
 
@@ -88,7 +89,7 @@
         with pytest.raises(PlatformError):
             store.load()
         with pytest.raises(PlatformError):
-            store.watch(1, 0.1)
+            store.watch(StoreRevision(0, 1), 0.1)
 
 
 def test_an_answer_without_its_version_is_an_error_of_the_platform() -> None:
@@ -118,7 +119,9 @@
     stop = threading.Event()
     with server_of(answers) as address:
         store = ConfigurationStore(platform_client(address))
-        watch = ConfigurationWatch(store, lambda: 1, adopted.append, lambda: True, failures.append)
+        watch = ConfigurationWatch(
+            store, lambda: StoreRevision(0, 1), adopted.append, lambda: True, failures.append
+        )
         thread = threading.Thread(target=watch.run, args=(stop,))
         thread.start()
         time.sleep(0.3)
