--- a/tests/test_fleet_sync.py
+++ b/tests/test_fleet_sync.py
@@ -328,3 +328,10 @@
     seen = observe(script)
     assert seen.held == 1
     assert seen.after_hold == set(NAMES)
+
+
+def test_a_store_that_names_no_era_any_more_is_heard_in_the_present_one() -> None:
+    change = FleetItems((gone("a", 5),), 5)
+    view = asyncio.run(_followed([in_era(2, first_read()), change]))
+    assert set(view.back_ends("search")) == {"b", "c", "d"}
+    assert view.era(FleetPart.BACK_ENDS) == 2
