Findings and progress by era and revision; gauge of the store's era

A document that cannot be read was logged once per revision, so another one that gets the same revision after a restore would not have been. kitekeeld's progress is read in one step. kitekeel_store_era.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/daemon.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/daemon.py
@@ -50,7 +50,6 @@
 from kitekeel_steering.key_table import KeyTable
 from kitekeel_steering.metrics import MemoryMetrics
 from kitekeel_steering.model import Configuration
-from kitekeel_steering.progress import PartProgress
 from kitekeel_steering.rendezvous import rank_nodes
 from kitekeel_steering.settings import PeerSettings, Settings
 from kitekeel_steering.unavailable_back_ends import UnavailableBackEnds
@@ -141,7 +140,7 @@
             self.peer_client,
             self._clock,
             hybrid_clock,
-            lambda: (PartProgress(self.spread.order().number, era=self.spread.order().era),),
+            self.spread.progress,
             lambda progress: self._pulls.put(progress.address),
             self._on_member,
             self._seeds,
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/fleet_follower.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/fleet_follower.py
@@ -36,6 +36,7 @@
     StoreEraChanged,
     StoreWatched,
 )
+from kitekeel_steering.store_revision import StoreRevision
 
 # How often a daemon reviews whether it must watch the store. Changes of the member table are
 # already seconds old when they arrive, so a shorter interval would gain nothing.
@@ -93,7 +94,7 @@
         self._metrics = metrics
         self._log = log
         generator = random.Random()
-        self._logged_findings: OrderedDict[str, int] = OrderedDict()
+        self._logged_findings: OrderedDict[str, StoreRevision] = OrderedDict()
         self._watch_duty = WatchDuty(clock, generator, role.all_start)
         self._is_watching = False
         self._ignore_probes_until = float("-inf")
@@ -232,9 +233,9 @@
         Every read of the store finds the same document again.
         """
         self._metrics.increment("store.findings")
-        if self._logged_findings.get(finding.key) == finding.revision:
+        if self._logged_findings.get(finding.key) == finding.position:
             return
-        self._logged_findings[finding.key] = finding.revision
+        self._logged_findings[finding.key] = finding.position
         if len(self._logged_findings) > _MAX_LOGGED_FINDINGS:
             self._logged_findings.popitem(last=False)
         self._log.state(DocumentRejected(finding.reason))
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/gateway_gauges.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/gateway_gauges.py
@@ -18,6 +18,7 @@
 from kitekeel_daemon.request_router import RequestRouter
 from kitekeel_daemon.tenant_admission import TenantAdmission
 from kitekeel_steering.back_end_links import LinkHealth
+from kitekeel_steering.fleet_items import FleetPart
 from kitekeel_steering.fleet_view import FleetView
 
 
@@ -50,6 +51,7 @@
     return [
         ("requests_in_flight", "Requests without an answer", lambda: router.in_flight),
         ("view_age_seconds", "Time since the store was heard from", view.age_seconds),
+        ("store_era", "Restores of the store", lambda: view.era(FleetPart.CONFIGURATION)),
         ("configuration_version", "Version in force", view.configuration_version),
         ("back_ends", "Back ends known", lambda: len(view.all_back_ends())),
         ("limited_back_ends", "Back ends with a rate limit", sources.limiter.limited_back_ends),
--- a/packages/kitekeel-lab/src/kitekeel_lab/hollow_daemon.py
+++ b/packages/kitekeel-lab/src/kitekeel_lab/hollow_daemon.py
@@ -28,7 +28,6 @@
 from kitekeel_steering.grant_timing import GrantTiming
 from kitekeel_steering.metrics import MemoryMetrics
 from kitekeel_steering.model import Configuration
-from kitekeel_steering.progress import PartProgress
 
 _PULL_POLL_SECONDS = 1.0
 
@@ -85,7 +84,7 @@
             self._client,
             self._clock,
             HybridClock(self._clock),
-            lambda: (PartProgress(self._spread.order().number, era=self._spread.order().era),),
+            self._spread.progress,
             lambda progress: self._pulls.put(progress.address),
             self._on_member,
             lambda: seeds,
--- a/packages/kitekeel-peers/src/kitekeel_peers/configuration_spread.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/configuration_spread.py
@@ -26,6 +26,7 @@
 from kitekeel_steering.clock import steady_seconds
 from kitekeel_steering.errors import PeerError
 from kitekeel_steering.model import Configuration, decode_configuration, encode_configuration
+from kitekeel_steering.progress import PartProgress
 from kitekeel_steering.store_revision import StoreRevision
 
 PULL = "Pull"
@@ -83,6 +84,11 @@
         """Return the era and revision in force here."""
         return self._current.order
 
+    def progress(self) -> tuple[PartProgress, ...]:
+        """Return the revision in force as the progress to state in heartbeats."""
+        own = self.order()
+        return (PartProgress(own.number, era=own.era),)
+
     def adopt(self, configuration: Configuration) -> bool:
         """Put a configuration into force if it is newer than the current one.
 
@@ -101,7 +107,8 @@
 
     def pull(self, address: str) -> bool:
         """Pull a newer configuration from another daemon; return whether one was adopted."""
-        request = PullRequest(self.order().number, self.order().era)
+        own = self.order()
+        request = PullRequest(own.number, own.era)
         try:
             reply = self._client.call(address, PULL, request, PullReply, _PULL_TIMEOUT_SECONDS)
         except PeerError:
@@ -141,12 +148,13 @@
             if seconds < _MIN_RELAY_SECONDS:
                 break
             head, *rest = remaining
+            order = self.order()
             request = SpreadRequest(
-                self.order().number,
+                order.number,
                 self._own_address,
                 tuple(rest),
                 seconds * _RELAY_DEADLINE_SHARE,
-                self.order().era,
+                order.era,
             )
             try:
                 reply = self._client.call(head.peer_address, SPREAD, request, SpreadReply, seconds)
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -54,6 +54,17 @@
     store.turned_away |= set(still_away)
 
 
+async def changed_fleet() -> tuple[
+    MemoryStore, list[BackEndStandIn], list[RunningGateway], StoreCopy
+]:
+    """Start a fleet; return it with a copy of its store, which has changed much since."""
+    store, back_ends = await fleet()
+    gateways = await zone(store)
+    copy = store.copy()
+    await write_others(store)
+    return store, back_ends, gateways, copy
+
+
 def versions(gateways: list[RunningGateway]) -> set[int]:
     return {each.gateway.view.configuration_version() for each in gateways}
 
@@ -67,10 +78,7 @@
     """With many writes before, the revision passes the former one before any watch returns."""
 
     async def scenario() -> None:
-        store, _ = await fleet()
-        gateways = await zone(store)
-        copy = store.copy()
-        await write_others(store)
+        store, _, gateways, copy = await changed_fleet()
         await store.put_configuration(configuration(2))
         assert await are_all_at(gateways, 2)
         await come_back(store, copy)
@@ -83,10 +91,7 @@
 
 def test_a_configuration_is_seen_though_later_writes_pass_the_former_revision() -> None:
     async def scenario() -> None:
-        store, _ = await fleet()
-        gateways = await zone(store)
-        copy = store.copy()
-        await write_others(store)
+        store, _, gateways, copy = await changed_fleet()
         await store.put_configuration(configuration(2))
         assert await are_all_at(gateways, 2)
         await come_back(store, copy, "g0", "g1", "g2")
@@ -132,10 +137,7 @@
 
 def test_a_configuration_reaches_daemons_that_the_restored_store_turns_away() -> None:
     async def scenario() -> None:
-        store, _ = await fleet()
-        gateways = await zone(store)
-        copy = store.copy()
-        await write_others(store)
+        store, _, gateways, copy = await changed_fleet()
         await store.put_configuration(configuration(2))
         assert await are_all_at(gateways, 2)
         await come_back(store, copy, "g1", "g2")
@@ -148,10 +150,7 @@
 
 def test_a_configuration_that_a_restore_lost_stays_in_force_and_reaches_new_daemons() -> None:
     async def scenario() -> None:
-        store, _ = await fleet()
-        gateways = await zone(store)
-        copy = store.copy()
-        await write_others(store)
+        store, _, gateways, copy = await changed_fleet()
         await store.put_configuration(configuration(2))
         assert await are_all_at(gateways, 2)
         await come_back(store, copy)
@@ -165,10 +164,7 @@
 
 def test_a_restore_repeated_at_once_hides_no_configuration() -> None:
     async def scenario() -> None:
-        store, _ = await fleet()
-        gateways = await zone(store)
-        copy = store.copy()
-        await write_others(store)
+        store, _, gateways, copy = await changed_fleet()
         await store.put_configuration(configuration(2))
         assert await are_all_at(gateways, 2)
         await come_back(store, copy)
@@ -190,10 +186,7 @@
 
 def test_a_back_end_that_leaves_after_a_restore_gets_no_more_requests() -> None:
     async def scenario() -> None:
-        store, back_ends = await fleet()
-        gateways = await zone(store)
-        copy = store.copy()
-        await write_others(store)
+        store, back_ends, gateways, copy = await changed_fleet()
         leaving = back_ends[0].record
         await store.put_back_end(leaving)
         await asyncio.sleep(1.0)
@@ -210,11 +203,8 @@
     is_removed: bool,
 ) -> None:
     async def scenario() -> None:
-        store, back_ends = await fleet()
-        gateways = await zone(store)
-        copy = store.copy()
+        store, back_ends, gateways, copy = await changed_fleet()
         leaving = back_ends[0].record
-        await write_others(store)
         if is_removed:
             await store.remove_back_end(leaving.instance)
         else:
@@ -255,10 +245,7 @@
 
 def test_a_back_end_that_the_copy_lacks_and_that_stays_silent_is_dropped() -> None:
     async def scenario() -> None:
-        store, _ = await fleet()
-        gateways = await zone(store)
-        copy = store.copy()
-        await write_others(store)
+        store, _, gateways, copy = await changed_fleet()
         lost = await BackEndStandIn("b9").start()
         await store.put_back_end(lost.record)
         assert await until(lambda: can_receive(gateways, lost.record), 2.0)
@@ -284,10 +271,7 @@
 
 def test_a_zone_evacuated_again_after_a_restore_is_emptied() -> None:
     async def scenario() -> None:
-        store, _ = await fleet()
-        gateways = await zone(store)
-        copy = store.copy()
-        await write_others(store)
+        store, _, gateways, copy = await changed_fleet()
         await evacuate(store, "s1")
         assert await until(lambda: is_evacuated(gateways, "s1"), EVACUATION_SECONDS)
         await evacuate(store, "s1", removed=True)
@@ -302,10 +286,7 @@
 
 def test_an_evacuation_that_a_restore_lost_holds_until_it_is_written_again_and_ended() -> None:
     async def scenario() -> None:
-        store, _ = await fleet()
-        gateways = await zone(store)
-        copy = store.copy()
-        await write_others(store)
+        store, _, gateways, copy = await changed_fleet()
         await evacuate(store, "s1")
         assert await until(lambda: is_evacuated(gateways, "s1"), EVACUATION_SECONDS)
         await come_back(store, copy)
@@ -340,10 +321,7 @@
 
 def test_all_daemons_agree_after_a_restore() -> None:
     async def scenario() -> None:
-        store, back_ends = await fleet()
-        gateways = await zone(store)
-        copy = store.copy()
-        await write_others(store)
+        store, back_ends, gateways, copy = await changed_fleet()
         await store.put_configuration(configuration(2))
         await store.put_back_end(draining(back_ends[0].record))
         await asyncio.sleep(2.0)
