--- a/packages/kitekeel-steering/src/kitekeel_steering/item_merge.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/item_merge.py
@@ -46,8 +46,8 @@
         """
         if item.kind is ItemKind.CONFIGURATION and item.configuration is None:
             return None
-        if item.kind is ItemKind.EVACUATION and item.removed and _is_present(known):
-            self._ended_evacuations[item.name] = known.origin if known is not None else item.origin
+        if item.kind is ItemKind.EVACUATION:
+            self._note_ended_evacuation(item, known)
         is_later = known is None or self._is_later(item, known)
         if item.kind is ItemKind.BACK_END:
             return self._starts.merge(item, known, is_later)
@@ -72,6 +72,10 @@
             return is_later or self._may_be_evacuated_again(item, known)
         return _is_later_record(item, known, is_later)
 
+    def _note_ended_evacuation(self, item: ViewItem, known: ViewItem | None) -> None:
+        if item.removed and known is not None and not known.removed:
+            self._ended_evacuations[item.name] = known.origin
+
     def _may_be_evacuated_again(self, item: ViewItem, known: ViewItem) -> bool:
         """Return whether an evacuation in a restored store is not the one known to have ended."""
         if item.removed or not known.removed or item.position <= known.position:
@@ -80,10 +84,6 @@
         return ended is None or ended.number != item.revision
 
 
-def _is_present(known: ViewItem | None) -> bool:
-    return known is not None and not known.removed
-
-
 def _has_later_version(item: ViewItem, known: ViewItem, is_later: bool) -> bool:
     """Compare configurations, whose versions increase whatever becomes of the store."""
     if item.configuration is None or known.configuration is None:
