--- a/tests/soak/test_gateway_soak.py
+++ b/tests/soak/test_gateway_soak.py
@@ -20,6 +20,9 @@
 #  6139: requests were put down to another daemon whose connection had the same local port.
 #  6223: requests in pauses while a back end starts again several times.
 _FAILED_SEEDS_OF_ALL_FAULTS = [6111, 6131, 6138, 6139, 6223]
+# The same with restores of the store.
+#  7015: three requests in a pause.
+_FAILED_SEEDS_WITH_RESTORES = [7015]
 
 
 @pytest.mark.parametrize("seed", [2, *_FAILED_SEEDS])
@@ -91,6 +94,23 @@
     assert not report.breaches, (report.breaches, report.faults)
 
 
+@pytest.mark.parametrize("seed", _FAILED_SEEDS_WITH_RESTORES)
+def test_a_short_soak_of_all_faults_and_restores_breaks_no_promise(
+    seed: int, tmp_path: Path
+) -> None:
+    report = soak(
+        seed,
+        10.0,
+        tmp_path,
+        has_restarts=True,
+        has_crashes=True,
+        has_link_cuts=True,
+        has_announcements=True,
+        has_restores=True,
+    )
+    assert not report.breaches, (report.breaches, report.faults)
+
+
 def test_a_request_to_reload_while_a_daemon_starts_does_not_end_it(tmp_path: Path) -> None:
     with lone_gateway(tmp_path) as daemon:
         deadline = time.monotonic() + _STARTED_SECONDS
