--- a/packages/kitekeel-daemon/src/kitekeel_daemon/request_recorder.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/request_recorder.py
@@ -11,6 +11,7 @@
 from kitekeel_daemon.routed_request import RoutedRequest
 from kitekeel_steering.clock import Clock
 from kitekeel_steering.fleet_view import FleetView
+from kitekeel_steering.log_messages import LogMessage
 from kitekeel_steering.placement_policy import Placement
 from kitekeel_steering.proxied_messages import HeaderNames, ProxiedRequest, find_header
 from kitekeel_steering.request_log_messages import (
@@ -122,6 +123,7 @@
                 connection=progress.connection.value,
                 relay=progress.relay,
                 second_try=is_second_try,
+                open_ended=progress.is_open_ended,
             )
         )
         self._metrics.count_placement(region, placement.cause.value)
@@ -147,7 +149,8 @@
             identity=routed.identity,
         )
         is_answered = outcome is Outcome.ANSWERED and status < HTTPStatus.INTERNAL_SERVER_ERROR
-        is_ordinary = is_answered and routed.sends == 1 and not is_late
+        is_open_ended = any(_is_open_ended(each) for each in routed.messages)
+        is_ordinary = is_answered and routed.sends == 1 and not is_late and not is_open_ended
         self._log.request((*routed.messages, ended), is_ordinary)
 
     def note_unrouted(
@@ -176,3 +179,7 @@
             configuration_version=self._view.configuration_version(),
         )
         self._log.request((ended,), is_ordinary=False)
+
+
+def _is_open_ended(message: LogMessage) -> bool:
+    return isinstance(message, RequestSent) and message.open_ended
--- a/packages/kitekeel-steering/src/kitekeel_steering/request_log_messages.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/request_log_messages.py
@@ -80,7 +80,8 @@
     connection that it was sent on: ``kept``, ``new``, or ``pending`` if it ended before it had one;
     ``relay`` is the daemon through which it leads, empty for a direct one. ``second_try`` states
     that it was sent while the answer of an earlier send was overdue; the slower one of both ends
-    with the outcome ``cancelled``.
+    with the outcome ``cancelled``. ``open_ended`` states that the answer had no length, so that the
+    end of the connection completed it; such requests are always logged.
     """
 
     request: str
@@ -98,6 +99,7 @@
     connection: str = ""
     relay: str = ""
     second_try: bool = False
+    open_ended: bool = False
 
 
 class RequestEnded(LogMessage, frozen=True):
