--- a/packages/kitekeel-backends/src/kitekeel_backends/tcp_options.py
+++ b/packages/kitekeel-backends/src/kitekeel_backends/tcp_options.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import socket
-import struct
 
 # An idle connection is closed about 3 s after the last sign of its peer, with two probes
 # unanswered. If a user time-out is set, it decides that instead of the number of probes.
@@ -16,7 +15,6 @@
 _PROBE_INTERVAL_SECONDS = 1
 _UNANSWERED_PROBES = 2
 _USER_TIMEOUT_MILLISECONDS = 2500
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 def close_when_silent(transport: asyncio.BaseTransport) -> None:
@@ -41,13 +39,7 @@
     _set(transport, socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0)
 
 
-def reset(transport: asyncio.Transport) -> None:
-    """Close a connection with a reset, so that its peer does not take it for an orderly end."""
-    _set(transport, socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-    transport.abort()
-
-
-def _set(transport: asyncio.BaseTransport, level: int, option: int, value: int | bytes) -> None:
+def _set(transport: asyncio.BaseTransport, level: int, option: int, value: int) -> None:
     connection = transport.get_extra_info("socket")
     if connection is None or connection.fileno() < 0:
         return
--- a/packages/kitekeel-backends/src/kitekeel_backends/tunnel_relay.py
+++ b/packages/kitekeel-backends/src/kitekeel_backends/tunnel_relay.py
@@ -16,11 +16,12 @@
 import h11
 
 from kitekeel_backends import tunnel_messages
-from kitekeel_backends.tcp_options import close_when_idle_and_silent, reset
+from kitekeel_backends.tcp_options import close_when_idle_and_silent
 from kitekeel_backends.tunnel_messages import connect_answer
 from kitekeel_steering.fleet_items import BackEndRecord
 from kitekeel_steering.metrics import Metrics
 from kitekeel_steering.proxied_messages import find_header
+from kitekeel_steering.tcp_reset import reset
 
 # With the buffers below, tunnels take 32 MB at most.
 _MAX_TUNNELS = 512
--- a/packages/kitekeel-callers/src/kitekeel_callers/caller_stream.py
+++ b/packages/kitekeel-callers/src/kitekeel_callers/caller_stream.py
@@ -13,12 +13,12 @@
     CHECK_SECONDS,
     ReadingProgress,
     outstanding_bytes,
-    reset,
 )
 from kitekeel_steering.clock import steady_seconds
 from kitekeel_steering.http_stream import ConnectionLostError, HttpEvent, HttpStream
 from kitekeel_steering.link_traffic import PROCESS_TRAFFIC
 from kitekeel_steering.metrics import Metrics
+from kitekeel_steering.tcp_reset import reset
 
 _PAUSE_READING_BYTES = 256 * 1024
 _PAUSE_READING_BYTES_WITHOUT_ROOM = 16 * 1024
--- a/packages/kitekeel-callers/src/kitekeel_callers/slow_readers.py
+++ b/packages/kitekeel-callers/src/kitekeel_callers/slow_readers.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import fcntl
-import socket
 import struct
 import termios
 
@@ -54,10 +53,3 @@
     except OSError:
         return 0
     return int(_INT.unpack(found)[0])
-
-
-def reset(transport: asyncio.Transport) -> None:
-    """Reset a connection, so that the kernel does not keep its unsent bytes either."""
-    linger = struct.pack("ii", 1, 0)
-    transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    transport.abort()
