Log how old changes of the store may be, and how long removals are held

The lines told that removals were held, but not for how long, nor how much older than its answer a change may be because the daemon was collecting changes before the call.

Change: store-answered says unwatched (seconds), removals-held says seconds; counter store.removals-held.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/fleet_follower.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/fleet_follower.py
@@ -242,8 +242,10 @@
             self._logged_findings.popitem(last=False)
         self._log.state(DocumentRejected(finding.reason))
 
-    def _on_removals_held(self, count: int) -> None:
-        self._log.state(RemovalsHeld(count, round(self._view.age_seconds(), 2)))
+    def _on_removals_held(self, count: int, seconds: float) -> None:
+        self._metrics.increment("store.removals-held", count)
+        view_age = round(self._view.age_seconds(), 2)
+        self._log.state(RemovalsHeld(count, view_age, round(seconds, 3)))
 
     def _on_store_answer(self, answer: StoreAnswer) -> None:
         call = "read" if answer.after is None else "watch"
@@ -258,6 +260,7 @@
                 changes=len(answer.found.items),
                 held=answer.held,
                 seconds=round(answer.seconds, 3),
+                unwatched=round(answer.unwatched_seconds, 3),
                 era=answer.found.era,
             )
         )
--- a/packages/kitekeel-steering/src/kitekeel_steering/store_log_messages.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/store_log_messages.py
@@ -11,8 +11,9 @@
     ``call`` is read or watch; ``after`` is the revision after which changes were requested, or
     ``None`` for a read; ``first`` is the lowest revision among the changes and ``revision`` the one
     up to which the answer is complete; ``seconds`` is the time from the call to its answer;
-    ``held`` of the ``changes`` are removals that are not applied yet. ``era`` counts how often the
-    store was restored from a copy; 0 if it does not say.
+    ``held`` of the ``changes`` are removals that are not applied yet. ``unwatched`` is the time in
+    seconds before the call in which nothing watched the part, by which its changes may be older.
+    ``era`` counts how often the store was restored from a copy; 0 if it does not say.
     """
 
     part: str
@@ -24,6 +25,7 @@
     held: int
     seconds: float
     era: int = 0
+    unwatched: float = 0.0
 
 
 class StoreChangeIgnored(LogMessage, frozen=True):
@@ -108,10 +110,14 @@
 
 
 class RemovalsHeld(LogMessage, frozen=True):
-    """Removals of back ends are withheld briefly; their leases probably expired in an outage."""
+    """Removals of back ends are withheld briefly; their leases probably expired in an outage.
+
+    They are applied after ``seconds`` unless the back ends are written again meanwhile.
+    """
 
     count: int
     view_age: float
+    seconds: float = 0.0
 
 
 class ViewChanged(LogMessage, frozen=True):
--- a/tests/test_fleet_sync.py
+++ b/tests/test_fleet_sync.py
@@ -125,7 +125,7 @@
         SyncListeners(
             lambda _name, _is_up, _reason: None,
             lambda _finding: None,
-            held_counts.append,
+            lambda count, _seconds: held_counts.append(count),
             lambda _answer: None,
             lambda _part, _after: None,
         ),
