Mark the end of an answer in tunnels, so that a killed relay ends none

Cause: an answer without a length ends with its connection. A tunnel passed the back end's end on as the end of the tunnel, and the kernel ends the connections of a killed process in the same orderly way. Nothing in the tunnel told one from the other, neither for a kill nor for a relay that ends with its grace.

Change: what the relay sends to the daemon is framed, and the back end's orderly end is an empty frame. The end of a tunnel without it is a break, whoever closed it: a kill, the end of the grace, the relay's own close. A reset at the kill (SO_LINGER from the start) was weighed: it discards whole answers that wait in the relay's kernel, and it must be taken back before an orderly end while bytes may still wait in the process. Frames are asked for and confirmed in the handshake; towards a relay of an earlier version the end of a tunnel completes no answer without a length, and answers with one pass as before. Requests are not framed, since none of them ends with its connection.

--- a/packages/kitekeel-backends/src/kitekeel_backends/tunnel_client.py
+++ b/packages/kitekeel-backends/src/kitekeel_backends/tunnel_client.py
@@ -11,7 +11,8 @@
 from kitekeel_backends import tunnel_messages
 from kitekeel_backends.http_exchange import BackEndConnection
 from kitekeel_backends.tcp_options import close_when_silent
-from kitekeel_backends.tunnel_messages import connect_request
+from kitekeel_backends.tunnel_frames import TunnelStream
+from kitekeel_backends.tunnel_messages import connect_request, has_frames
 from kitekeel_steering.errors import ConnectFailedError
 
 
@@ -30,14 +31,20 @@
 
 
 class _Handshake(asyncio.Protocol):
-    """Asks for a tunnel, and reports the status of the answer."""
+    """Asks for a tunnel, and reports the answer.
+
+    Attributes:
+        answer: the head of the relay's answer.
+        surplus: the bytes that have arrived behind it.
+    """
 
     def __init__(self, request: h11.Request) -> None:
         self._request = request
         self._parser = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=tunnel_messages.MAX_HEAD_BYTES
         )
-        self.status: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+        self.answer: asyncio.Future[h11.Response] = asyncio.get_running_loop().create_future()
+        self.surplus = b""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the request; called by asyncio."""
@@ -46,21 +53,23 @@
 
     def data_received(self, data: bytes) -> None:
         """Read the answer; called by asyncio."""
-        if self.status.done():
+        if self.answer.done():
+            self.surplus += data
             return
         try:
             self._parser.receive_data(data)
             event = self._parser.next_event()
         except h11.RemoteProtocolError as error:
-            self.status.set_exception(ConnectFailedError(f"the relay's answer: {error}"))
+            self.answer.set_exception(ConnectFailedError(f"the relay's answer: {error}"))
             return
         if isinstance(event, h11.Response):
-            self.status.set_result(event.status_code)
+            self.surplus, _ = self._parser.trailing_data
+            self.answer.set_result(event)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Report that there is no answer; called by asyncio."""
-        if not self.status.done():
-            self.status.set_exception(ConnectFailedError("the relay closed the connection"))
+        if not self.answer.done():
+            self.answer.set_exception(ConnectFailedError("the relay closed the connection"))
 
 
 async def open_tunnel(
@@ -94,14 +103,17 @@
     )
     try:
         close_when_silent(transport)
-        status = await handshake.status
-        if status != tunnel_messages.CONNECTED:
-            message = f"{relay_address} answered {status} for {address}"
-            raise TunnelRefusedError(message, HTTPStatus(status))
+        answer = await handshake.answer
+        if answer.status_code != tunnel_messages.CONNECTED:
+            message = f"{relay_address} answered {answer.status_code} for {address}"
+            raise TunnelRefusedError(message, HTTPStatus(answer.status_code))
     except BaseException:
         transport.abort()
         raise
     connection = make()
-    transport.set_protocol(connection)
-    connection.connection_made(transport)
+    stream = TunnelStream(connection, has_frames(answer))
+    transport.set_protocol(stream)
+    stream.connection_made(transport)
+    if handshake.surplus:
+        stream.data_received(handshake.surplus)
     return connection
--- a/packages/kitekeel-backends/src/kitekeel_backends/tunnel_relay.py
+++ b/packages/kitekeel-backends/src/kitekeel_backends/tunnel_relay.py
@@ -17,7 +17,8 @@
 
 from kitekeel_backends import tunnel_messages
 from kitekeel_backends.tcp_options import close_when_idle_and_silent
-from kitekeel_backends.tunnel_messages import connect_answer
+from kitekeel_backends.tunnel_frames import END_FRAME, frame
+from kitekeel_backends.tunnel_messages import connect_answer, has_frames
 from kitekeel_steering.fleet_items import BackEndRecord
 from kitekeel_steering.metrics import Metrics
 from kitekeel_steering.proxied_messages import find_header
@@ -98,11 +99,21 @@
 
 
 class _BackEndSide(_Side):
-    """The side of a tunnel that is connected to a back end."""
+    """The side of a tunnel that is connected to a back end.
+
+    Attributes:
+        has_ended: whether the back end has ended or reset its connection.
+        is_framed: whether the daemon gets frames.
+    """
 
     def __init__(self) -> None:
         super().__init__()
         self.has_ended = False
+        self.is_framed = False
+
+    def data_received(self, data: bytes) -> None:
+        """Forward bytes, in a frame if the daemon asked for frames; called by asyncio."""
+        super().data_received(frame(data) if self.is_framed else data)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Close the daemon's side in the same way; called by asyncio."""
@@ -114,6 +125,8 @@
         self.has_ended = True
         other = self.other_transport()
         if other is not None and not other.is_closing():
+            if self.is_framed:
+                other.write(END_FRAME)
             other.write_eof()
         return True
 
@@ -124,6 +137,7 @@
     Attributes:
         daemon: the other daemon's instance name; empty until the tunnel is open.
         back_end: the back end's instance name; empty until the tunnel is open.
+        is_framed: whether the daemon has asked for frames.
     """
 
     def __init__(self, relay: TunnelRelay) -> None:
@@ -131,6 +145,7 @@
         self._relay = relay
         self.daemon = ""
         self.back_end = ""
+        self.is_framed = False
         self._parser: h11.Connection | None = h11.Connection(
             h11.SERVER, max_incomplete_event_size=tunnel_messages.MAX_HEAD_BYTES
         )
@@ -177,12 +192,13 @@
         self.reset_other()
 
     async def _connect(self, request: h11.Request) -> None:
+        self.is_framed = has_frames(request)
         status = await self._relay.connect(request, self)
         if self._timer is not None:
             self._timer.cancel()
         self._parser = None
         assert self.transport is not None
-        self.transport.write(connect_answer(status))
+        self.transport.write(connect_answer(status, self.is_framed))
         if status is not tunnel_messages.CONNECTED:
             self.transport.close()
 
@@ -284,6 +300,7 @@
         if back_end_side.has_ended:
             # A back end with too many connections accepts and resets them.
             return tunnel_messages.CONNECTION_REFUSED
+        back_end_side.is_framed = daemon_side.is_framed
         back_end_side.other = daemon_side
         daemon_side.other = back_end_side
         return tunnel_messages.CONNECTED
