Reset HTTP/1.0 callers within an answer if the gateway is killed

Evidence: tests/test_killed_gateways.py kills a listener within such an answer; before, the caller read an orderly end, with the change a reset.

Change: the connection is set to be reset when it is closed while such an answer is written, and set back once the kernel has taken its last byte.

--- a/packages/kitekeel-callers/src/kitekeel_callers/answer_writer.py
+++ b/packages/kitekeel-callers/src/kitekeel_callers/answer_writer.py
@@ -8,6 +8,7 @@
 
 from kitekeel_steering.http_stream import ConnectionLostError, HttpStream
 from kitekeel_steering.proxied_messages import ProxiedAnswer
+from kitekeel_steering.tcp_reset import reset_on_close
 
 
 async def write_answer(
@@ -26,6 +27,10 @@
             has to be closed, so that the caller does not take a truncated answer as complete.
     """
     body = answer.body
+    has_open_end = _ends_with_connection(parser, answer)
+    if has_open_end and stream.transport is not None:
+        # A process that is killed must not end the answer in an orderly way.
+        reset_on_close(stream.transport, True)
     try:
         start = _serialize_start(parser, answer, closes_connection)
         if body.rest is None:
@@ -38,6 +43,17 @@
     if body.rest is not None:
         await _write_rest(stream, parser, body.rest)
         await stream.write(parser.send(h11.EndOfMessage()) or b"")
+    if has_open_end and stream.transport is not None:
+        reset_on_close(stream.transport, False)
+
+
+def _ends_with_connection(parser: h11.Connection, answer: ProxiedAnswer) -> bool:
+    """Return whether only the end of the connection shows that an answer is complete.
+
+    Callers of HTTP/1.0 know no chunks.
+    """
+    has_length = answer.body.rest is None or answer.body.length is not None
+    return not has_length and parser.their_http_version == b"1.0"
 
 
 def _serialize_start(
--- a/tests/test_killed_gateways.py
+++ b/tests/test_killed_gateways.py
@@ -8,7 +8,7 @@
 
 import pytest
 from loopback import free_address
-from part_process import BACK_END, SECRET
+from part_process import BACK_END, PIECE, SECRET
 from test_gateway_connections import Script, connect, outgoing, read_head, reply, serve
 
 from kitekeel_backends import tunnel_messages
@@ -154,3 +154,24 @@
     )
     assert received == b"first" + b"x" * 300
     assert reader.has_ended
+
+
+@pytest.mark.parametrize(("seconds", "is_killed"), [(5.0, True), (0.1, False)])
+def test_an_http_1_0_caller_sees_that_its_gateway_was_killed_within_an_answer(
+    seconds: float, is_killed: bool
+) -> None:
+    async def run() -> None:
+        address = free_address()
+        async with part_process("listener", address) as process:
+            reader, writer = await connect(address)
+            writer.write(f"GET /{seconds} HTTP/1.0\r\nHost: h\r\n\r\n".encode())
+            await read_head(reader)
+            assert await reader.readexactly(len(PIECE)) == PIECE
+            if not is_killed:
+                assert await reader.read() == PIECE
+                return
+            process.kill()
+            with pytest.raises(ConnectionResetError):
+                await reader.read()
+
+    asyncio.run(run())
