Hold removals of back ends only after an outage, not for their number

Cause: removals of a third of all back ends in one answer were taken for lapses of an outage that no call had noticed, and held for one heartbeat and 0.4 s from the answer. The answer itself may be 0.8 s old (1.2 s with many watchers), as the daemon was collecting changes. The sum was bounded nowhere.

Change: the number of removals decides only where the daemon made no calls for so long that it may have missed an outage: before its first answer, and over a pause of its process. A daemon whose calls were answered at shorter intervals knows that no record ran out for want of the store. After a noticed outage everything is as before; its hold counts from the first answer after it and ends before the store counts as stable again (contact, 4 s at least), as does that of a pause or start.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/fleet_follower.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/fleet_follower.py
@@ -219,8 +219,7 @@
     def _on_era(self, former: int, era: int) -> None:
         if former:
             self._metrics.increment("store.restored")
-            # Records may have expired by the time of the copy; their writers renew them.
-            self._contact.note_unnoticed_outage()
+            self._contact.note_restore()
         self._log.state(StoreEraChanged(former, era))
         for each in self._syncs.values():
             each.enter_era(era)
--- a/tests/test_fleet_sync.py
+++ b/tests/test_fleet_sync.py
@@ -6,11 +6,12 @@
 from collections.abc import Callable
 
 import msgspec
+import pytest
 
 from kitekeel_platform.fleet_store import FleetItems, HistoryLostError, RegisteredDaemon
 from kitekeel_platform.fleet_sync import FleetSync, SyncListeners
 from kitekeel_platform.store_contact import StoreContact
-from kitekeel_steering.clock import SystemClock
+from kitekeel_steering.clock import ManualClock, SystemClock
 from kitekeel_steering.errors import PlatformError
 from kitekeel_steering.fleet_items import BackEndRecord, FleetPart, ItemKind, ViewItem
 from kitekeel_steering.fleet_view import FleetView
@@ -193,6 +194,72 @@
     assert seen.after_hold == {"d"}
 
 
+def _contact_since(seconds: float, clock: ManualClock) -> StoreContact:
+    """Return a contact with a store that has answered each second for some time."""
+    contact = StoreContact(clock, CALM_HEARTBEAT_SECONDS)
+    for _ in range(int(seconds)):
+        contact.note_answer()
+        clock.advance(1.0)
+    contact.note_answer()
+    return contact
+
+
+async def _follow_calmly(script: Script, contact: StoreContact) -> Observation:
+    """Follow a script whose last answer is the news; the contact has a clock of its own."""
+    view = FleetView(SystemClock())
+    held_counts: list[int] = []
+    task = asyncio.create_task(back_ends_sync(script, view, held_counts, contact=contact).run())
+    await _until(lambda: not script)
+    await asyncio.sleep(0.02)
+    at_once = frozenset(view.back_ends("search"))
+    task.cancel()
+    return Observation(at_once, at_once, sum(held_counts))
+
+
+MASS_REMOVAL = FleetItems((gone("a", 5), gone("b", 5), gone("c", 5)), 5)
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        [first_read(), MASS_REMOVAL],
+        [first_read(), HistoryLostError("compacted"), FleetItems((written("d", 1),), 9)],
+        [first_read(), FleetItems((written("d", 2),), 2), MASS_REMOVAL],
+    ],
+    ids=["watch", "whole read", "after a change"],
+)
+def test_back_ends_that_leave_together_go_at_once_while_the_store_has_always_answered(
+    script: Script,
+) -> None:
+    """Guards against removals of a whole zone that take effect after the drain time."""
+    contact = _contact_since(10.0, ManualClock())
+    seen = asyncio.run(_follow_calmly(list(script), contact))
+    assert seen.at_once == {"d"}
+    assert seen.held == 0
+
+
+@pytest.mark.parametrize(("removals", "held"), [(3, 3), (2, 0)])
+def test_many_removals_are_held_after_a_pause_that_may_have_hidden_an_outage(
+    removals: int, held: int
+) -> None:
+    clock = ManualClock()
+    contact = _contact_since(10.0, clock)
+    clock.advance(2 * CALM_HEARTBEAT_SECONDS)
+    contact.note_own_pause(2 * CALM_HEARTBEAT_SECONDS - 0.5)
+    news = FleetItems(tuple(gone(each, 5) for each in NAMES[:removals]), 5)
+    seen = asyncio.run(_follow_calmly([first_read(), news], contact))
+    assert seen.held == held
+
+
+def test_a_short_pause_of_the_process_holds_no_removal() -> None:
+    clock = ManualClock()
+    contact = _contact_since(10.0, clock)
+    clock.advance(CALM_HEARTBEAT_SECONDS)
+    contact.note_own_pause(CALM_HEARTBEAT_SECONDS)
+    seen = asyncio.run(_follow_calmly([first_read(), MASS_REMOVAL], contact))
+    assert seen.at_once == {"d"}
+
+
 def test_few_unannounced_removals_take_effect_at_once_however_small_the_fleet() -> None:
     news = FleetItems((gone("a", 5), gone("b", 5)), 5)
     seen = observe([first_read(), news], CALM_HEARTBEAT_SECONDS)
