Bound what kitekeeld reads of an answer after its deadline

Change: after the deadline a socket reads at most 64 KB of a head, and 8 MB of a body, which the buffers along the way may hold.

--- a/packages/kitekeel-backends/src/kitekeel_backends/deadline_connection.py
+++ b/packages/kitekeel-backends/src/kitekeel_backends/deadline_connection.py
@@ -19,6 +19,10 @@
 _MAX_CONNECT_SECONDS = 1.0
 # At the deadline, data already in the kernel's buffer is still read, without waiting for more.
 _MIN_SOCKET_TIMEOUT_SECONDS = 0.001
+# A back end that sends without end always has data there, so the amount is bounded too: that of a
+# head, and that of a body, of which the buffers along the way may hold some megabytes.
+_MAX_LATE_HEAD_BYTES = 64 * 1024
+_MAX_LATE_BODY_BYTES = 8 * 1024 * 1024
 # Servers commonly close connections that are idle for 10 s; one that is idle for longer than this
 # may be closed at the moment a request is written to it.
 _MAX_IDLE_SECONDS = 6.0
@@ -29,14 +33,26 @@
 
     Attributes:
         deadline: monotonic time.
+        late_bytes_left: how much may still be read after the deadline.
     """
 
     deadline = float("inf")
+    late_bytes_left = _MAX_LATE_HEAD_BYTES
 
     def recv_into(self, *arguments: object, **options: object) -> int:
-        """Read the available data, waiting for some until the deadline."""
-        self.settimeout(max(_MIN_SOCKET_TIMEOUT_SECONDS, self.deadline - steady_seconds()))
-        return super().recv_into(*arguments, **options)  # type: ignore[arg-type]
+        """Read the available data, waiting for some until the deadline.
+
+        Raises:
+            TimeoutError: the deadline passed, and no data is available or too much was read since.
+        """
+        remaining = self.deadline - steady_seconds()
+        if remaining <= 0 and self.late_bytes_left <= 0:
+            raise TimeoutError("the deadline passed, and the answer does not end")
+        self.settimeout(max(_MIN_SOCKET_TIMEOUT_SECONDS, remaining))
+        size = super().recv_into(*arguments, **options)  # type: ignore[arg-type]
+        if remaining <= 0:
+            self.late_bytes_left -= size
+        return size
 
     def sendall(self, *arguments: object, **options: object) -> None:
         """Write all data before the deadline.
@@ -91,6 +107,12 @@
         self._deadline = deadline
         if isinstance(self.sock, DeadlineSocket):
             self.sock.deadline = deadline
+            self.sock.late_bytes_left = _MAX_LATE_HEAD_BYTES
+
+    def note_head_read(self) -> None:
+        """Allow what a body needs to be read after the deadline."""
+        if isinstance(self.sock, DeadlineSocket):
+            self.sock.late_bytes_left = _MAX_LATE_BODY_BYTES
 
 
 class IdleConnections:
--- a/packages/kitekeel-backends/src/kitekeel_backends/forwarding.py
+++ b/packages/kitekeel-backends/src/kitekeel_backends/forwarding.py
@@ -120,10 +120,12 @@
             enforce_content_length=True,
             chunked=request.body is not None and request.body_length is None,
         )
-        return connection.getresponse()
+        response = connection.getresponse()
     except _EXCHANGE_ERRORS as error:
         connection.close()
         raise _exchange_failure(error, deadline, connection) from error
+    connection.note_head_read()
+    return response
 
 
 def _headers(request: ForwardedRequest, remaining: float) -> dict[str, str]:
--- /dev/null
+++ b/tests/endless_back_end.py
@@ -0,0 +1,86 @@
+"""A back end as a process of its own whose answers never end.
+
+Run as ``endless_back_end.py KIND ADDRESS``; prints ``ready``, then the id of each request.
+"""
+
+import socket
+import sys
+import threading
+import time
+from collections.abc import Callable
+
+ID = "Kitekeel-Request-Id"
+PIECE = b"x" * 65536
+CHUNK = b"10000\r\n" + PIECE + b"\r\n"
+INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n" * 1000
+LARGE_BYTES = 700_000
+SLOW_BYTES = 20
+SLOW_SECONDS = 0.1
+
+
+def head(request_id: str, *lines: str) -> bytes:
+    return "\r\n".join(["HTTP/1.1 200 OK", f"{ID}: {request_id}", *lines, "", ""]).encode()
+
+
+def send_endlessly(connection: socket.socket, start: bytes, piece: bytes) -> None:
+    connection.sendall(start)
+    while True:
+        connection.sendall(piece)
+
+
+def send_slowly(connection: socket.socket, start: bytes) -> None:
+    connection.sendall(start + b"x" * LARGE_BYTES)
+    while True:
+        connection.sendall(b"x" * SLOW_BYTES)
+        time.sleep(SLOW_SECONDS)
+
+
+KINDS: dict[str, Callable[[socket.socket, str], None]] = {
+    "no-length": lambda connection, name: send_endlessly(connection, head(name), PIECE),
+    "chunked": lambda connection, name: send_endlessly(
+        connection, head(name, "Transfer-Encoding: chunked"), CHUNK
+    ),
+    "huge-length": lambda connection, name: send_endlessly(
+        connection, head(name, "Content-Length: 1000000000000"), PIECE
+    ),
+    "headers": lambda connection, name: send_endlessly(
+        connection, head(name)[:-2], b"X-Header: value\r\n" * 100
+    ),
+    "interim": lambda connection, name: send_endlessly(connection, b"", INTERIM),
+    "another-answer": lambda connection, name: send_endlessly(connection, head("other"), PIECE),
+    "slow-rest": lambda connection, name: send_slowly(connection, head(name)),
+    "slow-rest-with-length": lambda connection, name: send_slowly(
+        connection, head(name, "Content-Length: 20000000")
+    ),
+}
+
+
+def serve(connection: socket.socket, kind: str) -> None:
+    received = b""
+    try:
+        while b"\r\n\r\n" not in received:
+            data = connection.recv(65536)
+            if not data:
+                return
+            received += data
+        lines = received.decode("latin-1").split("\r\n")
+        name = next(each for each in lines if each.lower().startswith(ID.lower())).split(": ")[1]
+        print(name, flush=True)
+        KINDS[kind](connection, name)
+    except OSError:
+        return
+    finally:
+        connection.close()
+
+
+def main(kind: str, address: str) -> None:
+    host, _, port = address.rpartition(":")
+    listener = socket.create_server((host, int(port)), backlog=256)
+    print("ready", flush=True)
+    while True:
+        connection, _ = listener.accept()
+        threading.Thread(target=serve, args=(connection, kind), daemon=True).start()
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:])
