Cut answers that do not end, and put their back end aside

Through another gateway that back end is not put aside for any kind of such bytes.

Causes: - The first 512 KB of an answer are under the request's deadline. What follows had neither a deadline nor a limit, and its end was no word about the back end. - Interim answers were skipped without a limit, and an answer to another request was read to its end. - While the links of a gateway are lost, no failed exchange counted against a back end, as the link may be at fault. Bytes that came through another gateway show that the link works.

Change: AnswerBounds decides how long the rest of an answer is passed on. One without a length, or over 64 MB, is cut 0.3 s after the deadline, not counting the time in which the caller does not read, and after 8 MB then; one with a length may go on while 64 KB a second arrive. Its back end is ejected, and then gets one request at a time until an answer is complete. At most 16 interim answers, and 512 KB of an answer to another request, are read. Faults that the received bytes show count on relayed connections too.

A sound body of 4 MB that its caller reads past the deadline is still whole, with and without a length.

--- a/packages/kitekeel-backends/src/kitekeel_backends/deadline_connection.py
+++ b/packages/kitekeel-backends/src/kitekeel_backends/deadline_connection.py
@@ -13,6 +13,7 @@
 
 from urllib3.connection import HTTPConnection
 
+from kitekeel_steering.answer_bounds import MAX_LATE_BYTES
 from kitekeel_steering.clock import steady_seconds
 
 # Allows for one lost packet within the users' networks, which take some 60 ms one way.
@@ -20,9 +21,8 @@
 # At the deadline, data already in the kernel's buffer is still read, without waiting for more.
 _MIN_SOCKET_TIMEOUT_SECONDS = 0.001
 # A back end that sends without end always has data there, so the amount is bounded too: that of a
-# head, and that of a body, of which the buffers along the way may hold some megabytes.
+# head here, and that of a body as in the gateway.
 _MAX_LATE_HEAD_BYTES = 64 * 1024
-_MAX_LATE_BODY_BYTES = 8 * 1024 * 1024
 # Servers commonly close connections that are idle for 10 s; one that is idle for longer than this
 # may be closed at the moment a request is written to it.
 _MAX_IDLE_SECONDS = 6.0
@@ -112,7 +112,7 @@
     def note_head_read(self) -> None:
         """Allow what a body needs to be read after the deadline."""
         if isinstance(self.sock, DeadlineSocket):
-            self.sock.late_bytes_left = _MAX_LATE_BODY_BYTES
+            self.sock.late_bytes_left = MAX_LATE_BYTES
 
 
 class IdleConnections:
--- a/packages/kitekeel-steering/src/kitekeel_steering/errors.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/errors.py
@@ -123,6 +123,18 @@
     code = "connection-broken"
 
 
+class FaultyAnswerError(ConnectionBrokenError):
+    """The back end ended the exchange without a valid answer, so the fault is not the link's."""
+
+    code = "faulty-answer"
+
+
+class EndlessAnswerError(FaultyAnswerError):
+    """The back end sent more than a sound answer holds, or too little of it in time."""
+
+    code = "endless-answer"
+
+
 class DeadlinePassedError(OutcomeUnknownError):
     """The deadline passed while the back end was working on the request."""
 
