Forget unread rests of answers that are dropped without notice

A rest that is neither read nor closed would have counted for good, so that the back end would never get another request.

Also fixed in the tests: two threads of endless_back_end.py wrote into one line, seen once as KeyError 'q62q61' in a run beside load.

--- a/tests/endless_back_end.py
+++ b/tests/endless_back_end.py
@@ -16,6 +16,7 @@
 LARGE_BYTES = 700_000
 SLOW_BYTES = 20
 SLOW_SECONDS = 0.1
+PRINTING = threading.Lock()
 
 
 def head(request_id: str, *lines: str) -> bytes:
@@ -65,7 +66,8 @@
             received += data
         lines = received.decode("latin-1").split("\r\n")
         name = next(each for each in lines if each.lower().startswith(ID.lower())).split(": ")[1]
-        print(name, flush=True)
+        with PRINTING:
+            print(name, flush=True)
         KINDS[kind](connection, name)
     except OSError:
         return
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -308,17 +308,28 @@
 
 def test_a_back_end_gets_one_request_at_a_time_after_an_endless_answer() -> None:
     load = BackEndLoad()
-    for _ in range(2):
-        load.note_answer(load.note_sent(0.0, 4), 0.1, None, was_run=True, has_rest=True)
+    first, second, third = (load.note_sent(0.0, 4) for _ in range(3))
+    for each in (first, second):
+        load.note_answer(each, 0.1, None, was_run=True, has_rest=True)
+    load.note_abandoned(third)
     assert not load.is_silent(0.2)
-    load.note_rest_faulty(2.0)
+    load.note_rest_faulty(first, 2.0)
     assert load.is_ejected(2.1)
     assert load.is_silent(5.0)
-    load.note_rest_given_up()
+    load.note_rest_given_up(second)
     assert not load.is_silent(5.0)
-    load.note_answer(load.note_sent(5.0, 4), 5.1, None, was_run=True, has_rest=True)
+    load.note_answer(third, 5.1, None, was_run=True, has_rest=True)
     assert load.is_silent(5.2)
-    load.note_rest_complete()
+    load.note_rest_complete(third)
     assert not load.is_silent(5.3)
     load.note_sent(5.3, 4)
     assert not load.is_silent(5.4)
+
+
+def test_an_answer_that_is_dropped_unread_does_not_keep_a_back_end_on_trial() -> None:
+    load = BackEndLoad()
+    faulty = load.note_sent(0.0, 4)
+    load.note_answer(faulty, 0.1, None, was_run=True, has_rest=True)
+    load.note_answer(load.note_sent(0.0, 4), 0.1, None, was_run=True, has_rest=True)
+    load.note_rest_faulty(faulty, 2.0)
+    assert not load.is_silent(5.0)
