--- a/tests/test_fleet_sync.py
+++ b/tests/test_fleet_sync.py
@@ -9,11 +9,18 @@
 import pytest
 
 from kitekeel_platform.fleet_store import FleetItems, HistoryLostError, RegisteredDaemon
-from kitekeel_platform.fleet_sync import FleetSync, SyncListeners
+from kitekeel_platform.fleet_sync import FleetSync, StoreAnswer, SyncListeners
 from kitekeel_platform.store_contact import StoreContact
 from kitekeel_steering.clock import ManualClock, SystemClock
 from kitekeel_steering.errors import PlatformError
-from kitekeel_steering.fleet_items import BackEndRecord, FleetPart, ItemKind, ViewItem
+from kitekeel_steering.fleet_items import (
+    BackEndRecord,
+    Extent,
+    FleetPart,
+    ItemKind,
+    PartUpdate,
+    ViewItem,
+)
 from kitekeel_steering.fleet_view import FleetView
 
 # Records run out after an outage of two of these, a little less than the shortest backoff.
@@ -118,6 +125,7 @@
     held_counts: list[int],
     daemons: int = 12,
     contact: StoreContact | None = None,
+    answers: list[StoreAnswer] | None = None,
 ) -> FleetSync:
     sync = FleetSync(
         FleetPart.BACK_ENDS,
@@ -127,7 +135,7 @@
             lambda _name, _is_up, _reason: None,
             lambda _finding: None,
             lambda count, _seconds: held_counts.append(count),
-            lambda _answer: None,
+            lambda answer: answers.append(answer) if answers is not None else None,
             lambda _part, _after: None,
         ),
         random.Random(1),
@@ -402,3 +410,22 @@
     view = asyncio.run(_followed([in_era(2, first_read()), change]))
     assert set(view.back_ends("search")) == {"b", "c", "d"}
     assert view.era(FleetPart.BACK_ENDS) == 2
+
+
+def test_a_daemon_that_begins_to_watch_tells_how_old_its_first_changes_may_be() -> None:
+    """Guards against an infinite age of the first answer after a view that others have sent."""
+
+    async def scenario() -> None:
+        view = FleetView(SystemClock())
+        extent = Extent(1, 1)
+        view.apply_update(PartUpdate(FleetPart.BACK_ENDS, 0, extent, (written("a", 1),), True), "p")
+        view.confirm(0.5)
+        answers: list[StoreAnswer] = []
+        news: Script = [FleetItems((gone("a", 5),), 5)]
+        task = asyncio.create_task(back_ends_sync(news, view, [], answers=answers).run())
+        await _until(lambda: bool(answers))
+        task.cancel()
+        assert answers[0].after == 1
+        assert 0.0 <= answers[0].unwatched_seconds < 5.0
+
+    asyncio.run(scenario())
