--- a/packages/kitekeel-backends/src/kitekeel_backends/tunnel_frames.py
+++ b/packages/kitekeel-backends/src/kitekeel_backends/tunnel_frames.py
@@ -76,12 +76,9 @@
     def __init__(self, connection: BackEndConnection, is_framed: bool) -> None:
         self._connection = connection
         self._frames = FrameReader() if is_framed else None
-        self._transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Pass the transport on; called by asyncio."""
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
         self._connection.connection_made(transport)
 
     def data_received(self, data: bytes) -> None:
@@ -96,8 +93,8 @@
 
     def eof_received(self) -> bool:
         """Abort the connection unless the back end has ended its side; called by asyncio."""
-        if not self._connection.has_ended and self._transport is not None:
-            self._transport.abort()
+        if not self._connection.has_ended:
+            self._connection.abort()
         return True
 
     def pause_writing(self) -> None:
