Test slow answers without end, memory and closing, each kind on both ways

Asked for when the change was read again: heads and bodies, fast and slow, direct and through another gateway, with what callers get, memory and the time until the connection is closed. The tests now play twelve kinds on both ways; the back end reports when it finds a connection closed, and the growth of the process (gateway, callers and sound back ends together) is sampled.

--- a/tests/endless_back_end.py
+++ b/tests/endless_back_end.py
@@ -1,6 +1,7 @@
 """A back end as a process of its own whose answers never end.
 
-Run as ``endless_back_end.py KIND ADDRESS``; prints ``ready``, then the id of each request.
+Run as ``endless_back_end.py KIND ADDRESS``; prints ``ready``, then ``got ID`` for each request, and
+``closed ID SECONDS`` when its connection is found closed, with the time since the request.
 """
 
 import socket
@@ -13,7 +14,7 @@
 PIECE = b"x" * 65536
 CHUNK = b"10000\r\n" + PIECE + b"\r\n"
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n" * 1000
-LARGE_BYTES = 700_000
+LARGE_PART = b"x" * 700_000
 SLOW_BYTES = 20
 SLOW_SECONDS = 0.1
 PRINTING = threading.Lock()
@@ -29,10 +30,10 @@
         connection.sendall(piece)
 
 
-def send_slowly(connection: socket.socket, start: bytes) -> None:
-    connection.sendall(start + b"x" * LARGE_BYTES)
+def send_slowly(connection: socket.socket, start: bytes, piece: bytes = b"x" * SLOW_BYTES) -> None:
+    connection.sendall(start)
     while True:
-        connection.sendall(b"x" * SLOW_BYTES)
+        connection.sendall(piece)
         time.sleep(SLOW_SECONDS)
 
 
@@ -49,15 +50,28 @@
     ),
     "interim": lambda connection, name: send_endlessly(connection, b"", INTERIM),
     "another-answer": lambda connection, name: send_endlessly(connection, head("other"), PIECE),
-    "slow-rest": lambda connection, name: send_slowly(connection, head(name)),
+    "slow-headers": lambda connection, name: send_slowly(
+        connection, head(name)[:-2], b"X-Header: value\r\n"
+    ),
+    "slow-interim": lambda connection, name: send_slowly(connection, b"", INTERIM[:25]),
+    "slow-another-answer": lambda connection, name: send_slowly(connection, head("other")),
+    "slow-body": lambda connection, name: send_slowly(connection, head(name)),
+    "slow-rest": lambda connection, name: send_slowly(connection, head(name) + LARGE_PART),
     "slow-rest-with-length": lambda connection, name: send_slowly(
-        connection, head(name, "Content-Length: 20000000")
+        connection, head(name, "Content-Length: 20000000") + LARGE_PART
     ),
 }
 
 
+def report(line: str) -> None:
+    with PRINTING:
+        print(line, flush=True)
+
+
 def serve(connection: socket.socket, kind: str) -> None:
     received = b""
+    name = ""
+    got_at = time.monotonic()
     try:
         while b"\r\n\r\n" not in received:
             data = connection.recv(65536)
@@ -66,11 +80,12 @@
             received += data
         lines = received.decode("latin-1").split("\r\n")
         name = next(each for each in lines if each.lower().startswith(ID.lower())).split(": ")[1]
-        with PRINTING:
-            print(name, flush=True)
+        got_at = time.monotonic()
+        report(f"got {name}")
         KINDS[kind](connection, name)
     except OSError:
-        return
+        if name:
+            report(f"closed {name} {time.monotonic() - got_at:.3f}")
     finally:
         connection.close()
 
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -21,6 +21,7 @@
 )
 
 from kitekeel_callers.http_listener import HttpListener
+from kitekeel_callers.memory_budget import resident_bytes
 from kitekeel_lab.child_process import start_python
 from kitekeel_steering.answer_bounds import (
     LATE_WAIT_SECONDS,
@@ -46,11 +47,13 @@
     "headers",
     "interim",
     "another-answer",
+    "slow-headers",
+    "slow-interim",
+    "slow-another-answer",
+    "slow-body",
     "slow-rest",
     "slow-rest-with-length",
 ]
-# Kinds of which each loses another sign on the way through a relay, if it loses any.
-RELAYED_KINDS = ["no-length", "headers", "another-answer", "slow-rest"]
 SOUND_BACK_ENDS = 3
 # Callers read faster than the gateway writes.
 READ_BYTES = 1024 * 1024
@@ -65,6 +68,9 @@
 MIN_SERVED = 0.9
 # A fifth of what each of four back ends would get.
 MAX_FAULTY_SHARE = 0.05
+# Half of what a gateway of 300 MB has beside the 50 MB that it needs itself.
+MAX_GROWTH_BYTES = 125 * 1024 * 1024
+SAMPLE_SECONDS = 0.05
 
 
 class CallerResult(msgspec.Struct, frozen=True):
@@ -77,19 +83,29 @@
 
 
 class EndlessBackEnd:
-    """A back end process whose answers do not end, and the ids of the requests that it got."""
+    """A back end process whose answers do not end.
+
+    Attributes:
+        requests: the ids of the requests that it got.
+        closed_after: how long each connection was used until it was found closed, in seconds.
+    """
 
     def __init__(self, address: str, process: subprocess.Popen[bytes]) -> None:
         self.record = BackEndRecord("endless", "search", address, "n1", 4)
         self.address = address
         self.requests: list[str] = []
+        self.closed_after: list[float] = []
         self._process = process
         self._task = asyncio.create_task(self._read())
 
     async def _read(self) -> None:
         assert self._process.stdout is not None
         while line := await asyncio.to_thread(self._process.stdout.readline):
-            self.requests.append(line.decode().strip())
+            event, request_id, *seconds = line.decode().split()
+            if event == "got":
+                self.requests.append(request_id)
+            else:
+                self.closed_after.append(float(seconds[0]))
 
 
 @asynccontextmanager
@@ -151,6 +167,23 @@
     return CallerResult(sent_at, time.monotonic() - sent_at, status, is_complete)
 
 
+class MemoryGrowth:
+    """Samples how much the memory of this process has grown, with gateways and callers."""
+
+    def __init__(self) -> None:
+        self.most_bytes = 0
+        self._task = asyncio.create_task(self._sample(resident_bytes()))
+
+    async def _sample(self, start: int) -> None:
+        while True:
+            self.most_bytes = max(self.most_bytes, resident_bytes() - start)
+            await asyncio.sleep(SAMPLE_SECONDS)
+
+    def end(self) -> int:
+        self._task.cancel()
+        return self.most_bytes
+
+
 async def call_for(gateways: list[RunningGateway], seconds: float) -> list[CallerResult]:
     """Send requests to gateways in turn; return what the callers got."""
     draw = random.Random(7)
@@ -163,7 +196,22 @@
     return list(await asyncio.gather(*calls))
 
 
-def check(results: list[CallerResult], begin: float, requests: list[str]) -> None:
+async def check_calls(gateways: list[RunningGateway], endless: EndlessBackEnd) -> None:
+    """Send requests for some seconds, and check what callers, gateways and the back end see."""
+    begin = time.monotonic()
+    growth = MemoryGrowth()
+    results = await call_for(gateways, CONTACT_SECONDS + JUDGED_SECONDS)
+    most_bytes = growth.end()
+    await asyncio.sleep(HELD_SECONDS)
+    longest_use = max(endless.closed_after)
+    print(f"memory grew by {most_bytes / 1e6:.0f} MB; closed after {longest_use:.2f} s at most")
+    check_callers(results, begin, endless.requests)
+    assert most_bytes <= MAX_GROWTH_BYTES
+    assert len(endless.closed_after) == len(endless.requests)
+    assert longest_use <= DEADLINE_SECONDS + HELD_SECONDS
+
+
+def check_callers(results: list[CallerResult], begin: float, requests: list[str]) -> None:
     """Check what the callers of requests q0, q1 and so on got; some requests met the back end."""
     judged = [each for each in results if each.sent_at >= begin + CONTACT_SECONDS]
     served = sum(each.status == 200 and each.is_complete for each in judged) / len(judged)
@@ -188,15 +236,12 @@
         store, _ = await fleet(SOUND_BACK_ENDS)
         async with endless_back_end(kind) as endless:
             await store.put_back_end(endless.record)
-            gateway = await RunningGateway(store, "g0").start()
-            begin = time.monotonic()
-            results = await call_for([gateway], CONTACT_SECONDS + JUDGED_SECONDS)
-            check(results, begin, endless.requests)
+            await check_calls([await RunningGateway(store, "g0").start()], endless)
 
     play(scenario)
 
 
-@pytest.mark.parametrize("kind", RELAYED_KINDS)
+@pytest.mark.parametrize("kind", KINDS)
 def test_a_back_end_that_is_reached_through_another_gateway_is_put_aside_too(kind: str) -> None:
     """Guards against faults that are taken for those of a lost link."""
 
@@ -213,9 +258,7 @@
                 NewConnections.REFUSED,
             )
             network.begin(cut)
-            begin = time.monotonic()
-            results = await call_for(gateways[1:], CONTACT_SECONDS + JUDGED_SECONDS)
-            check(results, begin, endless.requests)
+            await check_calls(gateways[1:], endless)
             assert b"back-ends.relayed-sends" in gateways[1].gateway.metrics.text()
 
     play(scenario)
