--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -7,7 +7,6 @@
 from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from pathlib import Path
 
 import msgspec
 import pytest
@@ -19,10 +18,10 @@
     OpenConnections,
     start_on_network,
 )
+from script_process import script_process
 
 from kitekeel_callers.http_listener import HttpListener
 from kitekeel_callers.memory_budget import resident_bytes
-from kitekeel_lab.child_process import start_python
 from kitekeel_steering.answer_bounds import (
     LATE_WAIT_SECONDS,
     MAX_LATE_BYTES,
@@ -39,7 +38,6 @@
     find_header,
 )
 
-ENDLESS_BACK_END = Path(__file__).with_name("endless_back_end.py")
 KINDS = [
     "no-length",
     "chunked",
@@ -111,14 +109,8 @@
 @asynccontextmanager
 async def endless_back_end(kind: str) -> AsyncIterator[EndlessBackEnd]:
     address = free_address()
-    process = start_python([str(ENDLESS_BACK_END), kind, address], subprocess.PIPE)
-    try:
-        assert process.stdout is not None
-        assert await asyncio.to_thread(process.stdout.readline) == b"ready\n"
+    with script_process("endless_back_end.py", kind, address) as process:
         yield EndlessBackEnd(address, process)
-    finally:
-        process.kill()
-        process.wait()
 
 
 async def read_all(reader: asyncio.StreamReader) -> tuple[int, bool]:
--- a/tests/test_killed_gateways.py
+++ b/tests/test_killed_gateways.py
@@ -1,43 +1,26 @@
 """A gateway process that is killed leaves no truncated answer that looks complete."""
 
 import asyncio
-import subprocess
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
-from pathlib import Path
 
 import pytest
 from loopback import free_address
 from part_process import BACK_END, PIECE, SECRET
+from script_process import script_process
 from test_gateway_connections import Script, connect, outgoing, read_head, reply, serve
 
 from kitekeel_backends import tunnel_messages
 from kitekeel_backends.http_exchange import BackEndConnection
 from kitekeel_backends.tunnel_client import open_tunnel
 from kitekeel_backends.tunnel_frames import END_FRAME, FrameReader, frame
-from kitekeel_lab.child_process import start_python
 from kitekeel_steering.errors import ConnectionBrokenError
 from kitekeel_steering.http_stream import ConnectionLostError
 
-PART_PROCESS = Path(__file__).with_name("part_process.py")
+PART_PROCESS = "part_process.py"
 UNFRAMED_HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: one\r\n\r\n"
 # More than a connection keeps in memory before it passes an answer on.
 LARGE_BODY = b"0123456789abcdef" * 40_000
 
 
-@asynccontextmanager
-async def part_process(*arguments: str) -> AsyncIterator[subprocess.Popen[bytes]]:
-    """Run a part of a gateway as a process."""
-    process = start_python([str(PART_PROCESS), *arguments], subprocess.PIPE)
-    try:
-        assert process.stdout is not None
-        assert await asyncio.to_thread(process.stdout.readline) == b"ready\n"
-        yield process
-    finally:
-        process.kill()
-        process.wait()
-
-
 async def open_through(relay_address: str, back_end_address: str) -> BackEndConnection:
     return await open_tunnel(
         relay_address, back_end_address, BACK_END, SECRET, lambda: BackEndConnection(lambda _: None)
@@ -53,7 +36,7 @@
 
     async def run() -> None:
         back_end_address, relay_address = await serve(script), free_address()
-        async with part_process("relay", relay_address, back_end_address) as process:
+        with script_process(PART_PROCESS, "relay", relay_address, back_end_address) as process:
             connection = await open_through(relay_address, back_end_address)
             exchange = asyncio.create_task(connection.exchange(outgoing("one")))
             await asyncio.sleep(0.2)
@@ -74,7 +57,7 @@
 
     async def run() -> None:
         back_end_address, relay_address = await serve(script), free_address()
-        async with part_process("relay", relay_address, back_end_address) as process:
+        with script_process(PART_PROCESS, "relay", relay_address, back_end_address) as process:
             connection = await open_through(relay_address, back_end_address)
             assert connection.transport is not None
             connection.transport.pause_reading()
@@ -129,7 +112,7 @@
 
     async def run() -> None:
         back_end_address, relay_address = await serve(script), free_address()
-        async with part_process("relay", relay_address, back_end_address):
+        with script_process(PART_PROCESS, "relay", relay_address, back_end_address):
             reader, writer = await connect(relay_address)
             request = tunnel_messages.connect_request(back_end_address, BACK_END, SECRET, "")
             names = [name for name, _ in request.headers if name != tunnel_messages.FRAMES_HEADER]
@@ -162,7 +145,7 @@
 ) -> None:
     async def run() -> None:
         address = free_address()
-        async with part_process("listener", address) as process:
+        with script_process(PART_PROCESS, "listener", address) as process:
             reader, writer = await connect(address)
             writer.write(f"GET /{seconds} HTTP/1.0\r\nHost: h\r\n\r\n".encode())
             await read_head(reader)
