Tell on what each refusal after a send rests, and never leave that line out

Callers saw requests refused as not run although a back end ran them. No gateway had a line of these requests, and its lines would not have told the hypotheses apart: the connection was 'new' or 'kept', and by which sign an answer was taken for this send's stood nowhere.

Change: connections have numbers; a send's line names the connection, the number of the exchange on it, the answer's status, the sign by which it was matched, whether it states that the request was not run, and how many other answers were skipped. The last line of a request holds a summary of its sends. The results of sends are a module of their own.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/request_recorder.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/request_recorder.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from http import HTTPStatus
 
-from kitekeel_daemon.back_end_sender import SendProgress, SendResult
 from kitekeel_daemon.decision_log import DecisionLog
 from kitekeel_daemon.gateway_metrics import GatewayMetrics
 from kitekeel_daemon.request_outcomes import Outcome, Reason
 from kitekeel_daemon.routed_request import RoutedRequest
+from kitekeel_daemon.send_result import SendProgress, SendResult
 from kitekeel_steering.clock import Clock
 from kitekeel_steering.fleet_view import FleetView
 from kitekeel_steering.log_messages import LogMessage
@@ -18,6 +19,7 @@
     RequestAdmitted,
     RequestEnded,
     RequestSent,
+    SendSummary,
     TenantOverLimit,
 )
 from kitekeel_steering.tenant_quota import TokenClaim
@@ -124,6 +126,12 @@
                 relay=progress.relay,
                 second_try=is_second_try,
                 open_ended=progress.is_open_ended,
+                connection_number=progress.connection_number,
+                exchange_number=progress.exchange_number,
+                status=progress.status,
+                matched_by=progress.matched_by,
+                states_not_run=progress.states_not_run,
+                skipped_answers=progress.skipped_answers,
             )
         )
         self._metrics.count_placement(region, placement.cause.value)
@@ -134,6 +142,9 @@
         seconds = self._clock.monotonic() - routed.request.received_at
         is_late = seconds > route.objective_seconds
         self._metrics.note_ended(outcome.value, reason, routed.service, routed.priority, seconds)
+        is_answered = outcome is Outcome.ANSWERED and status < HTTPStatus.INTERNAL_SERVER_ERROR
+        is_open_ended = any(_is_open_ended(each) for each in routed.messages)
+        is_ordinary = is_answered and routed.sends == 1 and not is_late and not is_open_ended
         ended = RequestEnded(
             request=routed.request_id,
             at=self._clock.wall(),
@@ -143,15 +154,17 @@
             attempts=routed.attempts,
             seconds=round(seconds, 3),
             view_age=round(self._view.age_seconds(), 2),
+            sends=() if is_ordinary else _summarize_sends(routed.messages),
             known=routed.known,
             usable=routed.usable,
             is_late=is_late,
             identity=routed.identity,
         )
-        is_answered = outcome is Outcome.ANSWERED and status < HTTPStatus.INTERNAL_SERVER_ERROR
-        is_open_ended = any(_is_open_ended(each) for each in routed.messages)
-        is_ordinary = is_answered and routed.sends == 1 and not is_late and not is_open_ended
-        self._log.request((*routed.messages, ended), is_ordinary)
+        if outcome is Outcome.REFUSED and routed.sends:
+            self._metrics.increment("requests.refused-after-send")
+            self._log.refusal_after_send(routed.messages, ended)
+        else:
+            self._log.request((*routed.messages, ended), is_ordinary)
 
     def note_unrouted(
         self, request: ProxiedRequest, outcome: Outcome, reason: Reason, key: str = ""
@@ -183,3 +196,19 @@
 
 def _is_open_ended(message: LogMessage) -> bool:
     return isinstance(message, RequestSent) and message.open_ended
+
+
+def _summarize_sends(messages: Iterable[LogMessage]) -> tuple[SendSummary, ...]:
+    return tuple(
+        SendSummary(
+            each.back_end,
+            each.connection_number,
+            each.exchange_number,
+            each.outcome,
+            each.status,
+            each.matched_by,
+            each.states_not_run,
+        )
+        for each in messages
+        if isinstance(each, RequestSent)
+    )
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/second_try.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/second_try.py
@@ -14,9 +14,9 @@
 from typing import Any, Protocol
 
 from kitekeel_daemon.back_end_limiter import BackEndLimiter, LimitToken
-from kitekeel_daemon.back_end_sender import SendResult
 from kitekeel_daemon.gateway_metrics import GatewayMetrics
 from kitekeel_daemon.routed_request import RoutedRequest
+from kitekeel_daemon.send_result import SendResult
 from kitekeel_daemon.speed_probes import SpeedProbes
 from kitekeel_steering.clock import Clock
 from kitekeel_steering.errors import KitekeelError
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/shortage_control.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/shortage_control.py
@@ -12,13 +12,13 @@
 
 import msgspec
 
-from kitekeel_daemon.back_end_sender import SendResult
 from kitekeel_daemon.back_end_states import BackEndStates
 from kitekeel_daemon.decision_log import DecisionLog
 from kitekeel_daemon.gateway_metrics import GatewayMetrics
 from kitekeel_daemon.kept_appointments import KeptAppointments
 from kitekeel_daemon.request_outcomes import Reason
 from kitekeel_daemon.routed_request import RoutedRequest
+from kitekeel_daemon.send_result import SendResult
 from kitekeel_steering.admission_lottery import (
     SLOT_SECONDS,
     Appointment,
--- a/packages/kitekeel-steering/src/kitekeel_steering/request_log_messages.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/request_log_messages.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from kitekeel_steering.log_messages import LogMessage
 
 
@@ -81,7 +83,13 @@
     ``relay`` is the daemon through which it leads, empty for a direct one. ``second_try`` states
     that it was sent while the answer of an earlier send was overdue; the slower one of both ends
     with the outcome ``cancelled``. ``open_ended`` states that the answer had no length, so that the
-    end of the connection completed it; such requests are always logged.
+    end of the connection completed it; such requests are always logged. ``connection_number``
+    identifies the connection within its daemon, and ``exchange_number`` is 1 for the first request
+    on it. ``status`` is that of the answer, and ``matched_by`` the sign by which it was taken for
+    the answer to this send: ``request-id``, ``new-connection`` for one without an id that was the
+    first on its connection, ``unidentified`` for a request without an id. ``states_not_run`` is
+    whether the answer states that the request was not run; ``skipped_answers`` is the number of
+    answers to other requests that came before it.
     """
 
     request: str
@@ -100,11 +108,31 @@
     relay: str = ""
     second_try: bool = False
     open_ended: bool = False
+    connection_number: int = 0
+    exchange_number: int = 0
+    status: int = 0
+    matched_by: str = ""
+    states_not_run: bool = False
+    skipped_answers: int = 0
+
+
+class SendSummary(msgspec.Struct, frozen=True, array_like=True):
+    """One send of a request, as an array; the fields are those of :class:`RequestSent`."""
+
+    back_end: str
+    connection_number: int
+    exchange_number: int
+    outcome: str
+    status: int = 0
+    matched_by: str = ""
+    states_not_run: bool = False
 
 
 class RequestEnded(LogMessage, frozen=True):
     """A request received its final answer, or its caller closed the connection.
 
+    ``sends`` lists what was sent, for requests that are not ordinary ones: the line of a refusal
+    after a send shows by itself why the request counts as not run, and is never left out.
     ``outcome`` is one of answered, refused, unknown, timed-out, abandoned, no-route, no-key and
     not-ready; ``reason`` is its cause. ``usable`` of ``known`` back ends could be chosen at the
     end. ``identity`` is set for a request during which back ends have ended, and is the same for
@@ -120,6 +148,7 @@
     attempts: int
     seconds: float
     view_age: float
+    sends: tuple[SendSummary, ...] = ()
     known: int = 0
     usable: int = 0
     is_late: bool = False
--- a/tests/test_second_tries.py
+++ b/tests/test_second_tries.py
@@ -7,10 +7,10 @@
 from gateway_stand_ins import play
 
 from kitekeel_daemon.back_end_limiter import LimitToken
-from kitekeel_daemon.back_end_sender import SendResult
 from kitekeel_daemon.gateway_metrics import GatewayMetrics
 from kitekeel_daemon.routed_request import RoutedRequest
 from kitekeel_daemon.second_try import SecondTries
+from kitekeel_daemon.send_result import SendResult
 from kitekeel_steering.back_end_load import AnsweredLoad, BackEndLoad
 from kitekeel_steering.clock import SystemClock, steady_seconds
 from kitekeel_steering.fleet_items import BackEndRecord
