Reproduce refusals of requests that a back end ran: late copies and contradictory answers

What callers saw: 503 with a promise, and a run.

The tests put one gateway, or one behind another gateway, before two back ends that speak raw bytes. Half of 80 requests a second that may not be repeated meet a fault: the rejection comes once more 2 to 12 ms later; a request is run and answered 200, 500 or 504, or 503 without an id, with the header that says not run. Callers that repeat their id are tried, too.

Logs of the late copies: both sends on one connection, exchange n and n + 1, both matched by request-id.

--- a/tests/test_true_refusals.py
+++ b/tests/test_true_refusals.py
@@ -1,13 +1,15 @@
 """A request that may not be repeated is refused as not run only if no back end ran it."""
 
 import asyncio
-from collections.abc import Iterator
+from collections import Counter
+from collections.abc import Iterator, Sequence
 
 import eliot
 import pytest
 from gateway_stand_ins import RunningGateway, ask, configuration, play
 from memory_store import MemoryStore
 from misleading_back_end import Fault, MisleadingBackEnd, ask_for
+from partitioned_back_ends import Cut, NewConnections, OpenConnections, start_on_network
 
 from kitekeel_steering.request_log_messages import SendSummary
 
@@ -43,6 +45,64 @@
     return await ask_for(ask_one, PER_SECOND, SECONDS, prefix)
 
 
+def check_refusals(statuses: dict[str, int], back_ends: Sequence[MisleadingBackEnd]) -> None:
+    runs = Counter(name for each in back_ends for name in each.ran)
+    met = set().union(*(each.met for each in back_ends))
+    refused = [name for name in met if statuses[name] in PROMISES and runs[name]]
+    twice = [name for name in statuses if runs[name] > 1]
+    told = Counter(statuses[name] for name in met)
+    print(f"{len(met)} met the fault, {dict(told)}, {len(refused)} refused though run")
+    assert len(met) >= MIN_MET
+    assert (refused, twice) == ([], [])
+    # What does not meet the fault is served.
+    assert all(statuses[name] == 200 for name in statuses if name.startswith("s"))
+
+
+@pytest.mark.parametrize("fault", Fault, ids=lambda each: each.value)
+def test_a_misleading_rejection_refuses_no_request_that_ran(fault: Fault) -> None:
+    async def scenario() -> None:
+        store, back_ends = await misleading_fleet(fault)
+        gateway = await RunningGateway(store, "g0").start()
+        check_refusals(await ask_unsafe(gateway), back_ends)
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("fault", Fault, ids=lambda each: each.value)
+def test_a_misleading_rejection_through_another_gateway_refuses_no_request_that_ran(
+    fault: Fault,
+) -> None:
+    async def scenario() -> None:
+        store, back_ends = await misleading_fleet(fault)
+        network, gateways = await start_on_network(store, back_ends, 2)
+        cut = Cut(
+            frozenset({"g1"}), network.addresses, OpenConnections.RESET, NewConnections.REFUSED
+        )
+        network.begin(cut)
+        check_refusals(await ask_unsafe(gateways[1]), back_ends)
+        assert b"back-ends.relayed-sends" in gateways[1].gateway.metrics.text()
+
+    play(scenario)
+
+
+def test_callers_that_repeat_a_request_id_get_no_earlier_rejection_as_their_answer() -> None:
+    async def scenario() -> None:
+        store, back_ends = await misleading_fleet(Fault.LATE_COPY)
+        gateway = await RunningGateway(store, "g0").start()
+
+        async def ask_until_served(name: str) -> int:
+            # Each try may run once; as it has the id of the others, runs are counted over all.
+            for _ in range(4):
+                status, _, _ = await ask(gateway.callers, "/unsafe/x", name, DEADLINE_MS, name[-1])
+                if status not in PROMISES:
+                    break
+            return status
+
+        check_refusals(await ask_for(ask_until_served, PER_SECOND, SECONDS), back_ends)
+
+    play(scenario)
+
+
 @pytest.fixture
 def written_lines() -> Iterator[list[dict[str, object]]]:
     lines: list[dict[str, object]] = []
