Send a request id once over a connection, so that no late answer is taken for a later send's

What callers saw: 503 with a promise for requests that may not be repeated, and runs of them; also runs of requests whose callers heeded such a 503.

Cause: an answer is matched by the request id alone. Where back ends reject with slots free, a request goes to the same back end again, over the connection that was just released and with the same id. A late copy of the rejection came in the place of the second answer and was taken for it while the back end ran the request. A caller that repeats its id met the same. So the id told requests apart, but not sends.

Ruled out: answers to other requests (skipped by their id), copies that come while the connection is idle (it is closed).

Change: a connection carries an id once; the pool chooses another one, and the connection itself refuses to send. Requests without an id need an unused connection. Probes of the health path, which have no id, skip answers with an id that their connection has carried. Connections through other gateways are of the same kind.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/speed_probes.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/speed_probes.py
@@ -138,7 +138,9 @@
         service = routes.services.get(candidate.record.service) if routes is not None else None
         path = service.health_path if service is not None else "/health"
         headers = ((b"Host", candidate.record.address.encode()),)
-        return OutgoingRequest(b"GET", path.encode("ascii", "ignore"), headers, MessageBody())
+        target = path.encode("ascii", "ignore")
+        id_header = self._names.request_id
+        return OutgoingRequest(b"GET", target, headers, MessageBody(), id_header, is_probe=True)
 
     def _give_back(
         self, candidate: Candidate, connection: BackEndConnection, answer: ProxiedAnswer
--- a/packages/kitekeel-steering/src/kitekeel_steering/request_log_messages.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/request_log_messages.py
@@ -86,8 +86,8 @@
     end of the connection completed it; such requests are always logged. ``connection_number``
     identifies the connection within its daemon, and ``exchange_number`` is 1 for the first request
     on it. ``status`` is that of the answer, and ``matched_by`` the sign by which it was taken for
-    the answer to this send: ``request-id``, ``new-connection`` for one without an id that was the
-    first on its connection, ``unidentified`` for a request without an id. ``states_not_run`` is
+    the answer to this send: ``repeated-id``, ``new-connection`` for one without an id that was the
+    first on its connection, ``request-without-id``. ``states_not_run`` is
     whether the answer states that the request was not run; ``skipped_answers`` is the number of
     answers to other requests that came before it.
     """
--- a/tests/test_gateway_connections.py
+++ b/tests/test_gateway_connections.py
@@ -463,3 +463,93 @@
         assert head.startswith("HTTP/1.1 200")
 
     asyncio.run(run())
+
+
+def test_a_connection_carries_no_request_id_twice() -> None:
+    """Guards against an answer to an earlier send that is taken for the answer to a later one."""
+
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            await read_head(reader)
+            writer.write(reply("one", "answer"))
+
+    async def run() -> None:
+        pool = ConnectionPool(1.0)
+        address = await serve(script)
+        first = await pool.acquire(address, 5, repeatable=False)
+        await first.exchange(outgoing("one"))
+        pool.release(address, first)
+        second = await pool.acquire(
+            address, 5, False, may_use=lambda each: each.can_identify(b"one")
+        )
+        assert second is not first
+        pool.discard(address, second)
+        with pytest.raises(ConnectFailedError):
+            await first.exchange(outgoing("one"))
+
+    asyncio.run(run())
+
+
+def test_requests_without_an_id_use_connections_of_their_own() -> None:
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            await read_head(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+    async def run() -> None:
+        pool = ConnectionPool(1.0)
+        address = await serve(script)
+        without_id = OutgoingRequest(
+            b"GET", b"/x", ((b"Host", b"h"),), MessageBody(b"", None, 0), ID
+        )
+        connection = await pool.acquire(address, 5, repeatable=True)
+        assert connection.can_identify(None)
+        await connection.exchange(without_id)
+        assert not connection.can_identify(None)
+        with pytest.raises(ConnectFailedError):
+            await connection.exchange(without_id)
+
+    asyncio.run(run())
+
+
+def test_a_late_rejection_is_not_taken_for_the_answer_to_a_probe() -> None:
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_head(reader)
+        writer.write(reply("one", "first"))
+        await read_head(reader)
+        writer.write(reply("one", "first again"))
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nwell")
+
+    async def run() -> None:
+        pool = ConnectionPool(1.0)
+        address = await serve(script)
+        connection = await pool.acquire(address, 5, repeatable=True)
+        await connection.exchange(outgoing("one"))
+        probe = OutgoingRequest(
+            b"GET", b"/h", ((b"Host", b"h"),), MessageBody(b"", None, 0), ID, is_probe=True
+        )
+        assert (await connection.exchange(probe)).body.start == b"well"
+        assert connection.skipped_answers == 1
+
+    asyncio.run(run())
+
+
+def test_a_connection_is_replaced_after_a_bounded_number_of_requests() -> None:
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            head = await read_head(reader)
+            writer.write(reply(head.split("Request-Id: ")[1].split("\r\n")[0], "answer"))
+
+    async def run() -> None:
+        pool = ConnectionPool(1.0)
+        address = await serve(script)
+        numbers = set()
+        for number in range(600):
+            connection = await pool.acquire(address, 5, repeatable=True)
+            numbers.add(connection.number)
+            await connection.exchange(outgoing(f"r{number}"))
+            pool.release(address, connection)
+        assert len(numbers) == 2
+        assert pool.open_connections() == 1
+
+    asyncio.run(run())
--- a/tests/test_true_refusals.py
+++ b/tests/test_true_refusals.py
@@ -140,7 +140,7 @@
             assert sends
             assert all(isinstance(each, SendSummary) for each in sends)
             assert all(each.connection_number and each.exchange_number for each in sends)
-            rejected = (503, "request-id", True)
+            rejected = (503, "repeated-id", True)
             assert all(
                 (each.status, each.matched_by, each.states_not_run) == rejected for each in sends
             )
@@ -154,6 +154,6 @@
         gateway = await RunningGateway(store, "g0").start()
         await ask_unsafe(gateway)
         counters = gateway.gateway.metrics.text().decode()
-        assert 'event="back-ends.not-run-by-request-id"' in counters
+        assert 'event="back-ends.not-run-by-repeated-id"' in counters
 
     play(scenario)
