Read the answer behind a late one if the back end ends its connection at the same moment

The exchange ended in a RuntimeError of the parser, which ends the caller's connection without an answer.

Cause: the parser is replaced after an answer to an earlier request; the new one was told of the end of the connection before it got the bytes that came before the end. On a direct connection the exchange runs between the two; the frames of a tunnel deliver both in one call.

--- a/tests/test_gateway_connections.py
+++ b/tests/test_gateway_connections.py
@@ -534,6 +534,27 @@
     asyncio.run(run())
 
 
+def test_the_answer_behind_a_late_one_is_read_if_the_back_end_ends_at_the_same_moment() -> None:
+    """Guards against an exchange that ends in an error of the parser, as one in a tunnel could."""
+
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_head(reader)
+        writer.write(reply("one", "first"))
+        await reader.read()
+
+    async def run() -> None:
+        pool = ConnectionPool(1.0)
+        connection = await pool.acquire(await serve(script), 5, repeatable=True)
+        await connection.exchange(outgoing("one"))
+        exchange = asyncio.create_task(connection.exchange(outgoing("two")))
+        await asyncio.sleep(0.05)
+        connection.data_received(reply("one", "first again") + reply("two", "second"))
+        connection.eof_received()
+        assert (await exchange).body.start == b"second"
+
+    asyncio.run(run())
+
+
 def test_a_connection_is_replaced_after_a_bounded_number_of_requests() -> None:
     async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while True:
