Take a rejection without a request id for no promise, also on a new connection

What callers saw: 503 with a promise for requests that a back end had run and answered with a rejection without an id.

Cause: on a connection that carried no other request, an answer without an id was taken for this request's, with all that it states. Each answer repeats the id of its request; only a request that cannot be read is rejected without it.

Change: without the id only a 400 is believed to be a rejection; 503, 429 and 421 count as run there, so the caller gets 502 and a request that may not be repeated is not sent again. Requests that have no id are judged as before: they have their connection for themselves.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/answer_verdict.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/answer_verdict.py
@@ -8,7 +8,7 @@
 import enum
 from http import HTTPStatus
 
-from kitekeel_backends.http_exchange import ReceivedHead
+from kitekeel_backends.http_exchange import AnswerMatch, ReceivedHead
 from kitekeel_steering.proxied_messages import HeaderNames, find_header
 
 # Statuses with which back ends reject requests. They fail a request that they ran with others.
@@ -47,6 +47,12 @@
     is_replaced = head.status == HTTPStatus.MISDIRECTED_REQUEST
     if not states_not_run and not is_replaced:
         return Verdict.RAN
-    if head.status not in _REJECTING_STATUSES:
+    if head.status not in _REJECTING_STATUSES or not _may_reject_without_id(head):
         return Verdict.CONTRADICTORY
     return Verdict.REPLACED if is_replaced else Verdict.REJECTED
+
+
+def _may_reject_without_id(head: ReceivedHead) -> bool:
+    """Return whether the head has its request's id, or none because it could not be read."""
+    is_unread = head.status == HTTPStatus.BAD_REQUEST
+    return is_unread or head.matched_by is not AnswerMatch.NEW_CONNECTION
--- a/tests/test_answer_verdict.py
+++ b/tests/test_answer_verdict.py
@@ -31,3 +31,13 @@
 def test_other_statuses_count_as_run_whatever_the_answer_states(status: int) -> None:
     assert judge(status, states_not_run=True) is Verdict.CONTRADICTORY
     assert judge(status, states_not_run=False) is Verdict.RAN
+
+
+@pytest.mark.parametrize("status", [421, 429, 503])
+def test_a_rejection_without_the_id_of_its_request_counts_as_run(status: int) -> None:
+    assert judge(status, True, AnswerMatch.NEW_CONNECTION).may_have_run
+    assert not judge(status, True, AnswerMatch.UNIDENTIFIED).may_have_run
+
+
+def test_a_back_end_that_could_not_read_the_id_may_reject_without_it() -> None:
+    assert judge(400, True, AnswerMatch.NEW_CONNECTION) is Verdict.REJECTED
