Forward no answer that names another request (kitekeeld)

Cause: kitekeeld takes the first answer on a kept connection for its request's; a late one to an earlier request would have gone to another caller.

Change: an answer that repeats another request's id breaks the exchange. Only repeatable requests use kept connections, and a connection is closed after a rejection, so no refusal can rest on a late answer here. Back ends of kitekeeld need not repeat the id; against those that don't, this does not help.

--- a/packages/kitekeel-backends/src/kitekeel_backends/forwarding.py
+++ b/packages/kitekeel-backends/src/kitekeel_backends/forwarding.py
@@ -3,6 +3,9 @@
 A request that may not be repeated is sent on a new connection. A request whose connect failed is
 then known not to have run, and it cannot be lost on a stale persistent connection. Once the first
 byte is sent, a failure leaves the outcome unknown, and this module does not send the request again.
+
+A late answer to an earlier request on a kept connection is recognized if it repeats the id of its
+request, which back ends need not do here.
 """
 
 from __future__ import annotations
@@ -124,6 +127,9 @@
     except _EXCHANGE_ERRORS as error:
         connection.close()
         raise _exchange_failure(error, deadline, connection) from error
+    if response.headers.get(REQUEST_ID_HEADER, request.request_id) != request.request_id:
+        connection.close()
+        raise ConnectionBrokenError("the back end sent the answer to another request", 1.0)
     connection.note_head_read()
     return response
 
