Let requests to a server that knows no ids share a connection

What callers saw: nothing landed.

Cause: the store's client uses the same connections, and its protocol has no request ids. The rule for requests without an id meant those whose back end repeats ids.

--- a/tests/test_gateway_connections.py
+++ b/tests/test_gateway_connections.py
@@ -512,6 +512,27 @@
     asyncio.run(run())
 
 
+def test_requests_to_a_server_that_knows_no_ids_share_a_connection() -> None:
+    """Guards against a store that cannot be reached a second time."""
+
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            await read_head(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+    async def run() -> None:
+        pool = ConnectionPool(1.0)
+        address = await serve(script)
+        request = OutgoingRequest(b"GET", b"/x", ((b"Host", b"h"),), MessageBody(b"", None, 0))
+        for _ in range(3):
+            connection = await pool.acquire(address, 5, repeatable=True)
+            assert (await connection.exchange(request)).status == 200
+            pool.release(address, connection)
+        assert connection.exchanges == 3
+
+    asyncio.run(run())
+
+
 def test_a_late_rejection_is_not_taken_for_the_answer_to_a_probe() -> None:
     async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await read_head(reader)
