--- a/packages/kitekeel-daemon/src/kitekeel_daemon/answer_verdict.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/answer_verdict.py
@@ -47,12 +47,12 @@
     is_replaced = head.status == HTTPStatus.MISDIRECTED_REQUEST
     if not states_not_run and not is_replaced:
         return Verdict.RAN
-    if head.status not in _REJECTING_STATUSES or not _may_reject_without_id(head):
+    if head.status not in _REJECTING_STATUSES or not _is_identified(head):
         return Verdict.CONTRADICTORY
     return Verdict.REPLACED if is_replaced else Verdict.REJECTED
 
 
-def _may_reject_without_id(head: ReceivedHead) -> bool:
-    """Return whether the head has its request's id, or none because it could not be read."""
-    is_unread = head.status == HTTPStatus.BAD_REQUEST
-    return is_unread or head.matched_by is not AnswerMatch.NEW_CONNECTION
+def _is_identified(head: ReceivedHead) -> bool:
+    """Return whether the head names its request, or answers one whose id could not be read."""
+    is_unreadable = head.status == HTTPStatus.BAD_REQUEST
+    return is_unreadable or head.matched_by is not AnswerMatch.NEW_CONNECTION
