Name the sends near the start of a request's last line

The users' record cuts each line after 200 characters, so what a refusal rests on would have been cut off again.

Change: the summary of the sends follows the outcome; in it the back end, the connection, the status and the sign come first.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/request_recorder.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/request_recorder.py
@@ -204,10 +204,10 @@
             each.back_end,
             each.connection_number,
             each.exchange_number,
-            each.outcome,
             each.status,
             each.matched_by,
             each.states_not_run,
+            each.outcome,
         )
         for each in messages
         if isinstance(each, RequestSent)
--- a/packages/kitekeel-steering/src/kitekeel_steering/request_log_messages.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/request_log_messages.py
@@ -122,17 +122,18 @@
     back_end: str
     connection_number: int
     exchange_number: int
+    status: int
+    matched_by: str
+    states_not_run: bool
     outcome: str
-    status: int = 0
-    matched_by: str = ""
-    states_not_run: bool = False
 
 
-class RequestEnded(LogMessage, frozen=True):
+class RequestEnded(LogMessage, frozen=True, kw_only=True):
     """A request received its final answer, or its caller closed the connection.
 
     ``sends`` lists what was sent, for requests that are not ordinary ones: the line of a refusal
-    after a send shows by itself why the request counts as not run, and is never left out.
+    after a send shows by itself why the request counts as not run, and is never left out. It stands
+    near the start, for readers that cut long lines.
     ``outcome`` is one of answered, refused, unknown, timed-out, abandoned, no-route, no-key and
     not-ready; ``reason`` is its cause. ``usable`` of ``known`` back ends could be chosen at the
     end. ``identity`` is set for a request during which back ends have ended, and is the same for
@@ -143,12 +144,12 @@
     request: str
     at: float
     outcome: str
+    sends: tuple[SendSummary, ...] = ()
     reason: str
     status: int
     attempts: int
     seconds: float
     view_age: float
-    sends: tuple[SendSummary, ...] = ()
     known: int = 0
     usable: int = 0
     is_late: bool = False
