--- a/packages/kitekeel-daemon/src/kitekeel_daemon/answer_verdict.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/answer_verdict.py
@@ -8,7 +8,7 @@
 import enum
 from http import HTTPStatus
 
-from kitekeel_backends.http_exchange import AnswerMatch, ReceivedHead
+from kitekeel_backends.exchange_messages import AnswerMatch, ReceivedHead
 from kitekeel_steering.proxied_messages import HeaderNames, find_header
 
 # Statuses with which back ends reject requests. They fail a request that they ran with others.
--- a/packages/kitekeel-daemon/src/kitekeel_daemon/speed_probes.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/speed_probes.py
@@ -12,7 +12,8 @@
 
 from kitekeel_backends.back_end_dialer import DialTarget
 from kitekeel_backends.connection_pool import ConnectionPool
-from kitekeel_backends.http_exchange import BackEndConnection, OutgoingRequest
+from kitekeel_backends.exchange_messages import OutgoingRequest
+from kitekeel_backends.http_exchange import BackEndConnection
 from kitekeel_daemon.announcement_reader import AnnouncementReader
 from kitekeel_daemon.answer_head import AnswerHead
 from kitekeel_daemon.answer_headers import read_load
--- a/tests/test_answer_verdict.py
+++ b/tests/test_answer_verdict.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from kitekeel_backends.http_exchange import AnswerMatch, ReceivedHead
+from kitekeel_backends.exchange_messages import AnswerMatch, ReceivedHead
 from kitekeel_daemon.answer_verdict import Verdict, judge_answer
 from kitekeel_steering.proxied_messages import HeaderNames
 
--- a/tests/test_gateway_connections.py
+++ b/tests/test_gateway_connections.py
@@ -13,7 +13,7 @@
 from loopback import free_address
 
 from kitekeel_backends.connection_pool import ConnectionLimitError, ConnectionPool
-from kitekeel_backends.http_exchange import OutgoingRequest
+from kitekeel_backends.exchange_messages import OutgoingRequest
 from kitekeel_callers.http_connection import Handler
 from kitekeel_callers.http_listener import HttpListener
 from kitekeel_steering.errors import ConnectFailedError, ConnectionBrokenError
@@ -490,15 +490,16 @@
     asyncio.run(run())
 
 
-def test_requests_without_an_id_use_connections_of_their_own() -> None:
-    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        while True:
-            await read_head(reader)
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+async def answer_without_ids(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    while True:
+        await read_head(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
 
+def test_requests_without_an_id_use_connections_of_their_own() -> None:
     async def run() -> None:
         pool = ConnectionPool(1.0)
-        address = await serve(script)
+        address = await serve(answer_without_ids)
         without_id = OutgoingRequest(
             b"GET", b"/x", ((b"Host", b"h"),), MessageBody(b"", None, 0), ID
         )
@@ -515,14 +516,9 @@
 def test_requests_to_a_server_that_knows_no_ids_share_a_connection() -> None:
     """Guards against a store that cannot be reached a second time."""
 
-    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        while True:
-            await read_head(reader)
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-
     async def run() -> None:
         pool = ConnectionPool(1.0)
-        address = await serve(script)
+        address = await serve(answer_without_ids)
         request = OutgoingRequest(b"GET", b"/x", ((b"Host", b"h"),), MessageBody(b"", None, 0))
         for _ in range(3):
             connection = await pool.acquire(address, 5, repeatable=True)
