Read the headers of an answer once

Each answer's headers were turned into a tuple three times: to match it, for its reader, and to return it. The head that was matched is passed on instead.

--- a/packages/kitekeel-backends/src/kitekeel_backends/exchange_messages.py
+++ b/packages/kitekeel-backends/src/kitekeel_backends/exchange_messages.py
@@ -27,6 +27,7 @@
     """The head of the answer to a request."""
 
     status: int
+    reason: bytes
     headers: RawHeaders
     matched_by: AnswerMatch
 
--- a/tests/test_answer_verdict.py
+++ b/tests/test_answer_verdict.py
@@ -13,7 +13,7 @@
 def judge(
     status: int, states_not_run: bool, match: AnswerMatch = AnswerMatch.REQUEST_ID
 ) -> Verdict:
-    return judge_answer(ReceivedHead(status, NOT_RUN if states_not_run else (), match), NAMES)
+    return judge_answer(ReceivedHead(status, b"", NOT_RUN if states_not_run else (), match), NAMES)
 
 
 @pytest.mark.parametrize("status", [400, 429, 503])
