--- a/packages/kitekeel-steering/src/kitekeel_steering/request_log_messages.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/request_log_messages.py
@@ -132,8 +132,8 @@
     """A request received its final answer, or its caller closed the connection.
 
     ``sends`` lists what was sent, for requests that are not ordinary ones: the line of a refusal
-    after a send shows by itself why the request counts as not run, and is the last to be left out. It stands
-    near the start, for readers that cut long lines.
+    after a send shows by itself why the request counts as not run, and is the last to be left out.
+    It stands near the start, for readers that cut long lines.
     ``outcome`` is one of answered, refused, unknown, timed-out, abandoned, no-route, no-key and
     not-ready; ``reason`` is its cause. ``usable`` of ``known`` back ends could be chosen at the
     end. ``identity`` is set for a request during which back ends have ended, and is the same for
