Join through an unknown process at a known member's address

Cause: both seeds had been replaced. Older daemons probe the address of the dead one, are answered by a process that they do not know, mark the old one dead, and drop what they have learnt of the new one.

Change: they join through that address. The join carries both records, so either side then knows the other. It is asked for only while the process is unknown, that is once.

--- a/packages/kitekeel-peers/src/kitekeel_peers/membership.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/membership.py
@@ -220,6 +220,8 @@
         if reply.instance != record.instance:
             # Another process now uses this address, so the probed one has ended.
             self.table.set_state(record.instance, MemberState.DEAD)
+            if self.table.find(reply.instance) is None:
+                self._join_through(record.peer_address)
             return reply
         if record.state is MemberState.SUSPECT and not target:
             self._clear_suspicion(record)
