Ask seeds' addresses again that no live member has

Cause: nobody probes the address of a member that has left, and daemons ask their seeds only at their start. The new processes know only each other.

Evidence: the new test failed with the fix for a killed seed in place ([g0, g1] and [g2, g3] for good), and passes now.

Change: one random vacant seed each ten seconds, with the time-out of a probe; daemons whose seeds all live ask nobody. A failed attempt no longer puts off the comparison of all records with a daemon that answers.

--- a/packages/kitekeel-peers/src/kitekeel_peers/membership.py
+++ b/packages/kitekeel-peers/src/kitekeel_peers/membership.py
@@ -41,6 +41,8 @@
     Attributes:
         probe_interval_seconds: time between two probes by one daemon.
         suspicion_seconds: time that a suspected member has to refute the suspicion.
+        seed_retry_interval_seconds: time between two attempts to join through a seed whose address
+            no live member has.
         indirect_probes: how many other members are asked to probe an unresponsive one.
     """
 
@@ -50,6 +52,7 @@
     full_sync_interval_seconds: float = 10.0
     dead_probe_interval_seconds: float = 2.0
     join_timeout_seconds: float = 2.0
+    seed_retry_interval_seconds: float = 10.0
     indirect_probes: int = 2
 
 
@@ -92,6 +95,7 @@
         self._random = random.Random(own.instance)
         self._last_full_sync = clock.monotonic()
         self._last_dead_probe = clock.monotonic()
+        self._last_seed_retry = clock.monotonic()
 
     def register(self, server: PeerServer) -> None:
         """Register the RPC handlers."""
@@ -160,6 +164,7 @@
                 continue
             self._probe_next()
             self._probe_dead_member()
+            self._join_through_vacant_seed()
             self._expire_suspicions()
             self.table.forget_ended()
 
@@ -197,6 +202,21 @@
         except PeerError:
             return
 
+    def _join_through_vacant_seed(self) -> None:
+        """Join through a random seed whose address no live member has, if the interval has passed.
+
+        If all seeds are replaced at once, the new processes know only each other. The address of a
+        member that has left is not probed, so that nobody else would meet them.
+        """
+        now = self._clock.monotonic()
+        if now - self._last_seed_retry < self._timing.seed_retry_interval_seconds:
+            return
+        self._last_seed_retry = now
+        live = {each.peer_address for each in self.table.live()}
+        vacant = sorted(set(self._seeds()) - live)
+        if vacant:
+            self._join_through(self._random.choice(vacant), self._timing.probe_timeout_seconds)
+
     def _neighbour_records(self) -> list[MemberRecord]:
         live = {each.instance: each for each in self.table.live()}
         return [live[name] for name in neighbours(self.table.own().instance, live)]
@@ -269,16 +289,18 @@
         since = self._clock.monotonic() - self._last_full_sync
         differs = digest != self.table.digest()
         if differs and since > self._timing.full_sync_interval_seconds:
+            self._last_full_sync = self._clock.monotonic()
             self._join_through(address)
 
-    def _join_through(self, address: str) -> bool:
+    def _join_through(self, address: str, timeout: float | None = None) -> bool:
+        """Exchange all records with the daemon at an address; return whether it answered."""
         request = JoinRequest(self.table.own(), self._hybrid_clock.tick())
-        timeout = self._timing.join_timeout_seconds
-        self._last_full_sync = self._clock.monotonic()
+        timeout = timeout or self._timing.join_timeout_seconds
         try:
             reply = self._client.call(address, JOIN, request, JoinReply, timeout)
         except PeerError:
             return False
+        self._last_full_sync = self._clock.monotonic()
         self._hybrid_clock.observe(reply.stamp)
         self.table.merge(reply.records, gossip=False)
         self._note_progress(address, reply.progress)
--- a/tests/test_replaced_seeds.py
+++ b/tests/test_replaced_seeds.py
@@ -120,3 +120,17 @@
     fleet.run(SETTLED_SECONDS)
     expected = sorted(each.table.own().instance for each in fleet.members)
     assert fleet.known() == [expected] * 4
+
+
+def test_daemons_find_the_processes_that_have_replaced_all_their_stopped_seeds() -> None:
+    """Guards against members that have left and whose addresses nobody asks again."""
+    fleet = SimulatedFleet(4)
+    fleet.run(SETTLED_SECONDS)
+    for number in (0, 1):
+        fleet.stop(number)
+    fleet.run(DOWN_SECONDS)
+    for number in (0, 1):
+        fleet.start_again(number)
+    fleet.run(SETTLED_SECONDS)
+    expected = sorted(each.table.own().instance for each in fleet.members)
+    assert fleet.known() == [expected] * 4
