Eject silent back ends whose requests all reach their deadlines

Callers got 504: a back end that sends slowly from the start still received 7 of 75 requests after 4 s (a twentieth allowed).

Cause: a back end is silent once a request has waited for 1 s, or for twice its usual time, without any answer. One that never answered has no usual time, so 2 s were asked for; no request waits beyond its deadline (1.5 s in the test). Any deadline below the limit has the same effect.

Ruled out: the usual time of other back ends as the default, which would also eject cold ones sooner and leave short deadlines as they are.

--- a/packages/kitekeel-daemon/src/kitekeel_daemon/back_end_faults.py
+++ b/packages/kitekeel-daemon/src/kitekeel_daemon/back_end_faults.py
@@ -12,6 +12,7 @@
 from kitekeel_backends.http_exchange import BackEndConnection
 from kitekeel_daemon.decision_log import DecisionLog
 from kitekeel_daemon.gateway_metrics import GatewayMetrics
+from kitekeel_steering.answer_bounds import CALLER_MARGIN_SECONDS
 from kitekeel_steering.back_end_links import LinkHealth
 from kitekeel_steering.back_end_load import SentRequest
 from kitekeel_steering.back_end_log_messages import BackEndEjected
@@ -64,7 +65,11 @@
             candidate.load.note_broken(sent, steady_seconds())
 
     def note_given_up(
-        self, candidate: Candidate, connection: BackEndConnection, sent: SentRequest
+        self,
+        candidate: Candidate,
+        connection: BackEndConnection,
+        sent: SentRequest,
+        deadline: float,
     ) -> None:
         """Record an exchange that was cancelled before its answer came."""
         # Bytes that came through another daemon show that its link works.
@@ -72,8 +77,10 @@
         if self._is_link_lost(candidate) and not is_own_fault:
             candidate.load.note_abandoned(sent)
             return
+        now = steady_seconds()
+        has_expired = now >= deadline - CALLER_MARGIN_SECONDS
         with self._logging_ejection(candidate, SilentBackEndError("no answer in time")):
-            candidate.load.note_given_up(sent, steady_seconds())
+            candidate.load.note_given_up(sent, now, has_expired)
 
     def note_rest_left(
         self, candidate: Candidate, connection: BackEndConnection, sent: SentRequest
--- a/packages/kitekeel-steering/src/kitekeel_steering/answer_bounds.py
+++ b/packages/kitekeel-steering/src/kitekeel_steering/answer_bounds.py
@@ -17,7 +17,7 @@
 # A tenth of what the slowest known links carry, since several answers may share one.
 MIN_LATE_BYTES_PER_SECOND = 64 * 1024
 # A caller's own deadline passes earlier than the daemon's, by the time that its request took.
-_CALLER_MARGIN_SECONDS = 0.25
+CALLER_MARGIN_SECONDS = 0.25
 
 
 class AnswerBounds:
@@ -64,7 +64,7 @@
 
     def is_overdue(self, now: float) -> bool:
         """Return whether a caller that leaves now has probably waited for an endless answer."""
-        return not self._is_bounded() and now >= self._deadline - _CALLER_MARGIN_SECONDS
+        return not self._is_bounded() and now >= self._deadline - CALLER_MARGIN_SECONDS
 
     def _is_bounded(self) -> bool:
         return self._length is not None and self._length <= MAX_UNSIZED_BYTES
