--- a/tests/test_gateway_connections.py
+++ b/tests/test_gateway_connections.py
@@ -591,3 +591,27 @@
         assert pool.open_connections() == 1
 
     asyncio.run(run())
+
+
+def test_a_back_end_learns_at_once_that_its_request_was_given_up() -> None:
+    """Guards against back ends that go on with an answer until its second write after the end."""
+    ends: list[BaseException | None] = []
+
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_head(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\nX-Begun: ")
+        try:
+            await reader.read()
+            ends.append(None)
+        except ConnectionResetError as error:
+            ends.append(error)
+
+    async def run() -> None:
+        pool = ConnectionPool(1.0)
+        address = await serve(script)
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(ask(pool, address, "r1"), 0.1)
+        await asyncio.sleep(0.1)
+        assert [type(each) for each in ends] == [ConnectionResetError]
+
+    asyncio.run(run())
