Count an announcement in the soak only if its answer can be read

Cause: the check took for told what the back end had decided to answer.

Change: a back end of the soak looks at its socket before it writes. If the daemon has closed its side, what the answer announces doesn't count. What a daemon could read counts as before; that the answer reached its kernel is enough.

--- a/tests/soak/gateway_soak.py
+++ b/tests/soak/gateway_soak.py
@@ -186,7 +186,7 @@
         sent_at = {each.request_id: each.sent_at for each in self._attempts}
         daemons = {each.host: each for each in fleet.daemons}
         checks = AnnouncementChecks(fleet.back_ends, daemons, fleet.disturbed, sent_at)
-        self._announcements = sum(len(each.announcements) for each in fleet.back_ends)
+        self._announcements = sum(len(each.announced) for each in fleet.back_ends)
         return checks.breaches()
 
     def _start_callers(self, fleet: SoakFleet, stop: asyncio.Event) -> list[asyncio.Task[None]]:
--- a/tests/soak/soak_announcement_checks.py
+++ b/tests/soak/soak_announcement_checks.py
@@ -3,7 +3,8 @@
 from collections import defaultdict
 from collections.abc import Iterable, Mapping, Sequence
 
-from soak_back_end import Announcement, Arrival, SoakBackEnd
+from soak_announcement_log import Announcement
+from soak_back_end import Arrival, SoakBackEnd
 from soak_daemon import SoakDaemon
 from soak_fleet import Disturbance
 
@@ -40,7 +41,7 @@
         self._arrivals: defaultdict[Process, list[Arrival]] = defaultdict(list)
         self._announcements: list[Announcement] = []
         for back_end in back_ends:
-            self._announcements += back_end.announcements
+            self._announcements += back_end.announced
             for each in back_end.arrivals:
                 self._arrivals[each.back_end, each.started_at_ms, each.sender].append(each)
 
--- a/tests/soak/soak_back_end.py
+++ b/tests/soak/soak_back_end.py
@@ -7,10 +7,11 @@
 from http import HTTPStatus
 
 import msgspec
+from soak_announcement_log import Announcement, AnnouncementLog
 from soak_misleading import CopyingConnection, MisleadingAnswers
 
 from kitekeel_adapter.adapter import HEADER_NAMES
-from kitekeel_callers.http_connection import CallerConnection, Handler
+from kitekeel_callers.http_connection import CallerConnection
 from kitekeel_callers.http_listener import HttpListener
 from kitekeel_daemon.request_outcomes import own_answer
 from kitekeel_steering.http_stream import ConnectionLostError
@@ -57,35 +58,37 @@
     deadline_ms: float
 
 
-class Announcement(msgspec.Struct, frozen=True):
-    """What an answer of a back end's process told a daemon; times are monotonic.
+class _Connection(CopyingConnection):
+    """Reports answers that nobody reads, as the daemon has closed its side before they are written.
 
-    Attributes:
-        pause_until: end of the pause that it asked for; ``None`` if it announced its end.
+    Daemons send nothing before they have the answer, so what can be read is the end.
     """
 
-    back_end: str
-    started_at_ms: int
-    sender: str
-    at: float
-    pause_until: float | None = None
+    def __init__(self, back_end: "SoakBackEnd", listener: "_Listener") -> None:
+        super().__init__(back_end.handle, listener, listener.draw_copy, listener.copies)
+        self._announced = back_end.announced
+
+    async def write(self, data: bytes) -> None:
+        if self.is_closing() or self.has_unread_bytes():
+            self._announced.drop_unread(data)
+        await super().write(data)
 
 
 class _Listener(HttpListener):
     """Accepts connections on which rejections may come twice."""
 
-    def __init__(self, address: str, handler: Handler, back_end: "SoakBackEnd") -> None:
-        super().__init__(address, handler)
-        self._handler = handler
+    def __init__(self, address: str, back_end: "SoakBackEnd") -> None:
+        super().__init__(address, back_end.handle)
         self._back_end = back_end
-        self._copies = random.Random(f"copies-{back_end.instance}")
+        self.copies = random.Random(f"copies-{back_end.instance}")
 
     def _new_connection(self) -> CallerConnection:
-        return CopyingConnection(self._handler, self, self._draw_copy, self._copies)
+        return _Connection(self._back_end, self)
 
-    def _draw_copy(self) -> bool:
+    def draw_copy(self) -> bool:
+        """Decide whether a rejection is sent again."""
         misleading = self._back_end.misleading
-        is_copied = bool(misleading.copied) and self._copies.random() < misleading.copied
+        is_copied = bool(misleading.copied) and self.copies.random() < misleading.copied
         misleading.copies += is_copied
         return is_copied
 
@@ -109,7 +112,7 @@
         started_at_ms: when its process started, as its record says.
         is_leaving: whether its answers announce its end.
         pause_seconds: the pause that it asks for while it turns every request away; 0 for none.
-        arrivals, announcements: what it got from daemons, and what it told them.
+        arrivals, announced: what it got from daemons, and what it told them.
         misleading: how its answers mislead.
         on_crash: called when its process has ended under a request.
     """
@@ -128,14 +131,14 @@
         self.is_leaving = False
         self.pause_seconds = 0.0
         self.arrivals: list[Arrival] = []
-        self.announcements: list[Announcement] = []
+        self.announced = AnnouncementLog()
         self.on_crash: Callable[[SoakBackEnd], None] | None = None
         self._present = 0
         self._free_slots = asyncio.Semaphore(SLOTS)
         self._random = random.Random(instance)
         self.misleading = MisleadingAnswers()
         self._draws = random.Random(f"misleading-{instance}")
-        self._listener = _Listener(address, self._handle, self)
+        self._listener = _Listener(address, self)
 
     async def start(self) -> "SoakBackEnd":
         await self._listener.start()
@@ -164,20 +167,22 @@
             "born": self.started_at_ms,
         }
 
-    async def _handle(self, request: ProxiedRequest) -> ProxiedAnswer:
+    async def handle(self, request: ProxiedRequest) -> ProxiedAnswer:
+        """Answer a request; the answer may announce the end of the process, or ask for a pause."""
         start, sender = self.started_at_ms, request.caller_address
         answer = await self._answer(request)
         if start != self.started_at_ms:
             return answer
         now = asyncio.get_running_loop().time()
-        told = Announcement(self.instance, start, sender, now)
+        request_id = find_header(request.headers, HEADER_NAMES.request_id) or b""
+        told = Announcement(self.instance, start, sender, now, request_id)
         if self.is_leaving:
             answer.headers = (*answer.headers, (HEADER_NAMES.leaving, b"1"))
-            self.announcements.append(told)
+            self.announced.add(told)
         asked = find_header(answer.headers, RETRY_AFTER)
         if asked is not None:
             until = now + float(asked)
-            self.announcements.append(msgspec.structs.replace(told, pause_until=until))
+            self.announced.add(msgspec.structs.replace(told, pause_until=until))
         return answer
 
     async def _answer(self, request: ProxiedRequest) -> ProxiedAnswer:
