Judge the classes of a soak's shortage by what chance makes of their counts

Cause: the check allowed a difference of 0.1, meant for some hundred requests of each class, and judged soaks from 50 on, where chance alone exceeds it.

--- a/tests/soak/soak_load.py
+++ b/tests/soak/soak_load.py
@@ -9,7 +9,9 @@
 from soak_loop_holds import LoopHolds
 from soak_sent_ahead import SentAheadCaller, find_late_deadlines, find_overlaps
 from soak_shortage import (
+    ClassCounts,
     SoakShortage,
+    count_classes,
     find_late_refusals,
     find_unfair_classes,
     shortage_refusals,
@@ -97,6 +99,10 @@
                 refusals[each.name] = await shortage_refusals(each)
         return refusals
 
+    def class_counts(self) -> ClassCounts:
+        """Return how the classes of the shortage were served."""
+        return count_classes(self._shortage.asked)
+
     def breaches(self) -> list[str]:
         """Return every promise that was broken to these callers, each in a line."""
         self._watch.cancel()
@@ -110,6 +116,6 @@
             ),
             *find_excess_runs(fleet.runs),
             *find_excess_repeats(attempts, arrivals),
-            *find_unfair_classes(asked),
+            *find_unfair_classes(self.class_counts()),
             *find_late_refusals(asked, arrivals, fleet.daemons, fleet.disturbed, self._holds),
         ]
