--- a/tests/soak/soak_shortage.py
+++ b/tests/soak/soak_shortage.py
@@ -27,7 +27,9 @@
 _PATIENCE_SECONDS = 2.5
 _CLASSES = ("urgent", "bulk")
 _MIN_JUDGED = 50
-# The urgent class must be answered as often, but for what chance makes of so many requests.
+# The urgent class must be answered as often, within a tenth in one soak. Over many soaks chance
+# explains less, as so many standard deviations of the counts tell.
+_CHANCE_SHARE = 0.1
 _CHANCE_DEVIATIONS = 3.0
 # 50 ms are the aim on an idle machine; a soak's processes share their cores with each other and
 # with whatever else runs, so that only what a caller would take for a wait is a breach here.
@@ -135,7 +137,8 @@
     others = counts.others_answered / counts.others
     overall = (counts.urgent_answered + counts.others_answered) / (counts.urgent + counts.others)
     variance = overall * (1.0 - overall) * (1.0 / counts.urgent + 1.0 / counts.others)
-    if others - urgent <= _CHANCE_DEVIATIONS * math.sqrt(variance):
+    allowed = min(_CHANCE_SHARE, _CHANCE_DEVIATIONS * math.sqrt(variance))
+    if urgent >= others - allowed:
         return []
     asked = f"{counts.urgent} and {counts.others}"
     return [f"classes: {urgent:.2f} of the urgent answered, {others:.2f} of the others ({asked})"]
--- a/tests/soak/test_soak_load_checks.py
+++ b/tests/soak/test_soak_load_checks.py
@@ -68,8 +68,8 @@
     assert not find_unfair_classes(count_classes([*urgent, *refused]))
 
 
-@pytest.mark.parametrize(("answered", "count"), [(11, 1), (21, 0)])
-def test_a_difference_that_chance_makes_of_few_requests_is_none(answered: int, count: int) -> None:
+@pytest.mark.parametrize(("answered", "count"), [(21, 1), (22, 0)])
+def test_a_difference_of_a_tenth_in_one_soak_is_found(answered: int, count: int) -> None:
     assert len(find_unfair_classes(ClassCounts(69, answered, 61, 25))) == count
 
 
