Give the back end of the lateness tests connections for all requests

Seen in a trial that pauses the test process for 0.4 s every 5 s: the test that a daemon whose machine is not stated refuses nothing for lateness failed with 503 among the answers.

Cause: after a pause the requests of that time come at once. Two of them were refused with `no-back-ends`: their only send had ended with `connection-limit`, as a daemon that has just started divides the 500 connections to a back end by the number of daemons that it assumes. None was refused as `daemon-late`, so the test failed for something that it does not look at.

Change: the back end of these tests takes 10,000 connections. No check changed.

--- a/tests/test_lateness_admission.py
+++ b/tests/test_lateness_admission.py
@@ -5,6 +5,7 @@
 import time
 from collections import Counter, deque
 
+import msgspec
 import pytest
 from gateway_stand_ins import BackEndStandIn, RunningGateway, ask, configuration, play
 from hypothesis import given
@@ -19,6 +20,8 @@
 REFUSAL_SECONDS = 0.0005
 STEP_SECONDS = 0.05
 MACHINE = "\n[machine]\nprocessor_share = 0.5\n"
+# A starting daemon assumes that many others share the connections to a back end.
+AMPLE_CONNECTIONS = 10_000
 
 
 class Loop:
@@ -134,8 +137,14 @@
 
 
 async def running_gateway(settings: str) -> tuple[BackEndStandIn, RunningGateway]:
+    """Start a back end and a gateway whose connections suffice for all requests of a test."""
     store = MemoryStore()
-    await store.put_configuration(configuration())
+    configured = configuration()
+    services = tuple(
+        msgspec.structs.replace(each, connection_limit=AMPLE_CONNECTIONS)
+        for each in configured.services
+    )
+    await store.put_configuration(msgspec.structs.replace(configured, services=services))
     back_end = await BackEndStandIn("b0", slots=200).start()
     await store.put_back_end(back_end.record)
     return back_end, await RunningGateway(store, "g0", further_settings=settings).start()
