Make no collections while a failed test is reported, as they could end the whole run

Seen in a trial that paused the test process to find tests that depend on it: pytest ended with `SystemError: AST constructor recursion depth mismatch` while it reported a failure, and all results were lost.

Cause: pytest parses the source of a failed test. A collection in the midst of `ast.parse` runs finalizers of what the test left behind, for instance of tasks whose exceptions nobody took. They format tracebacks, for which Python parses source once more, and `ast.parse` of Python 3.11 cannot be nested that way.

That the trial met the same is inferred from the error.

Change: collections are off while a report is made.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -22,12 +22,18 @@
 eliot.add_destinations(_last_lines.append)
 
 
-@pytest.hookimpl(hookwrapper=True)
+@pytest.hookimpl(hookwrapper=True, tryfirst=True)
 def pytest_runtest_makereport(
     item: pytest.Item, call: pytest.CallInfo[None]
 ) -> Generator[None, Any, None]:
-    """Show what the daemons of a failed test have logged."""
+    """Show what the daemons of a failed test have logged.
+
+    A report is made without collections: a finalizer that formats a traceback parses source, and
+    within another ``ast.parse`` this raises ``SystemError``, which ends the whole run.
+    """
+    gc.disable()
     result = yield
+    gc.enable()
     report = result.get_result()
     if call.when == "setup":
         _last_lines.clear()
